--- /dev/null
+++ b/tealhook/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m tealhook`."""
+
+from tealhook.cli import main
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/tealhook/fleet/demand.py
@@ -0,0 +1,69 @@
+"""How much is asked for, now and lately: the figures that the policy is written over."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from tealhook.wire.cloud import MachineType
+from tealhook.wire.mesh import Demand, Shape
+
+WINDOW_BOOTS = 4  # lately: so many boots
+
+
+def slots_per_machine(rig: MachineType, shape: Shape) -> int:
+    """Tasks of a shape that fit an empty machine of a type."""
+    count = math.inf
+    pairs = ((rig.vcpus, shape.vcpus), (rig.cards, shape.cards), (rig.memory_gb, shape.memory_gb))
+    for have, need in pairs:
+        if need > 0:
+            count = min(count, int((have + 1e-6) / need))
+    return 0 if count is math.inf else int(count)
+
+
+def machine_cpus(types: dict[str, MachineType], demand: Demand) -> float:
+    """CPUs of whole machines that a demand fills, on the type that suits it best."""
+    best = math.inf
+    for rig in types.values():
+        if demand.shape.rigs and rig.name not in demand.shape.rigs:
+            continue
+        count = slots_per_machine(rig, demand.shape)
+        if count:
+            best = min(best, demand.count * rig.vcpus / count)
+    return 0.0 if best is math.inf else best
+
+
+class DemandHistory:
+    """Demand smoothed over several boots, and its peak."""
+
+    def __init__(self, boot_s: float) -> None:
+        self._span = WINDOW_BOOTS * boot_s
+        self._at: float | None = None
+        self.mean = 0.0
+        self.urgent = 0.0
+        self._peaks: deque[tuple[float, float]] = deque()
+        self._waits: deque[tuple[float, float]] = deque()
+
+    def note(self, now: float, demand: float, urgent: float, waiting: float, patience: float) -> None:
+        if self._at is None:
+            self.mean, self.urgent = demand, urgent
+        else:
+            weight = 1.0 - math.exp(-max(0.0, now - self._at) / self._span)
+            self.mean += weight * (demand - self.mean)
+            self.urgent += weight * (urgent - self.urgent)
+        self._at = now
+        self._peaks.append((now, demand))
+        while self._peaks[0][0] < now - self._span:
+            self._peaks.popleft()
+        self._waits.append((now, waiting))
+        while self._waits[0][0] < now - patience:
+            self._waits.popleft()
+
+    @property
+    def peak(self) -> float:
+        return max((demand for _, demand in self._peaks), default=0.0)
+
+    @property
+    def lasting(self) -> float:
+        """What has been waiting for a while, not just passing through."""
+        return min((waiting for _, waiting in self._waits), default=0.0)
--- /dev/null
+++ b/tealhook/fleet/keeper.py
@@ -0,0 +1,474 @@
+"""The fleet's owner: it alone lists, rents and releases.
+
+A machine is released only when its part's owner has drained it, or as a fence: when it is silent and must be
+known to be gone before its tasks run elsewhere. A 200 to the release is the proof that everybody is told of.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tealhook.fleet.demand import DemandHistory, machine_cpus, slots_per_machine
+from tealhook.loop import TokenBucket
+from tealhook.loop.effects import Effects
+from tealhook.mesh import Mesh
+from tealhook.settings import Policy, Settings
+from tealhook.store import FLEET, Ownership, Priority, StateClient, part_key
+from tealhook.wire import cloud as wire
+from tealhook.wire import mesh as mesh_wire
+from tealhook.wire import state as state_wire
+from tealhook.wire.common import dumps
+
+log = logging.getLogger("tealhook.fleet")
+
+TYPES_KEY = "fleet/types"
+CALL_TIMEOUT_S = 5.0
+USED_SHARE = 0.9
+LATE_BOOT = 2.0  # of ready_s: from then on a starting machine is not counted on
+DEAD_BOOT = 4.0  # of ready_s: from then on it is released
+Option = tuple[str, str, bool]  # type, zone, spot
+
+
+class _Box:
+    """A machine that we rent."""
+
+    __slots__ = ("name", "rig", "yard", "loaners", "status", "born", "up_at", "listed", "absent")
+
+    def __init__(self, name: str, rig: str, yard: str, loaners: bool, born: float) -> None:
+        self.name = name
+        self.rig = rig
+        self.yard = yard
+        self.loaners = loaners
+        self.status = "starting"
+        self.born = born
+        self.up_at = 0.0
+        self.listed = False
+        self.absent = False  # listed before, not in the last list
+
+
+class FleetKeeper:
+    """Runs on every node; acts only on the one that owns the fleet."""
+
+    def __init__(
+        self, effects: Effects, settings: Settings, policy: Policy, ownership: Ownership, store: StateClient,
+        mesh: Mesh, types: dict[str, wire.MachineType], variables: Callable[[], dict[str, float]],
+        on_gone: Callable[[list[str]], Any],
+    ) -> None:
+        self._fx = effects
+        self._settings = settings
+        self._policy = policy
+        self._own = ownership
+        self._store = store
+        self._mesh = mesh
+        self._types = types
+        self._variables = variables
+        self._on_gone = on_gone
+        self._lag = settings.params.cloud.list_lag_s
+        rate = settings.params.cloud.rps * USED_SHARE
+        self._bucket = TokenBucket(rate, 2 * rate, effects.now())
+        self._token: int | None = None
+        self._reset()
+        self._step_every = settings.params.workers.report_s / 2
+        effects.later(0.0, self._read_types)
+        effects.later(self._step_every, self._step)
+
+    def _reset(self) -> None:
+        self._boxes: dict[str, _Box] = {}
+        self._dead: dict[str, float] = {}  # released, or known to be gone: lists may still show them
+        self._fences: dict[str, float] = {}
+        self._releasing: set[str] = set()
+        self._listing = False
+        self._listed_at = -1e9
+        self._list_ok = False
+        self._renting: wire.Rental | None = None
+        self._asked = 0
+        self._refused: dict[Option, tuple[float, float]] = {}  # until when, and the pause it had
+        self._drains: dict[str, set[str]] = {}
+        self._history: DemandHistory | None = None
+        self._began = self._fx.now()
+        self._cold = False
+        self._calling = 0
+        self._types_at = -1e9
+
+    def owned(self, token: int | None) -> None:
+        """Ownership of the fleet came or went."""
+        self._token = token
+        self._reset()
+        self._cold = not self._types
+
+    # -- machine types: read by every node, asked for by the owner
+
+    def _read_types(self) -> None:
+        def done(kind: str, row: state_wire.Row | None) -> None:
+            if kind == "ok":
+                self._take_types(row.v)
+            if not self._types:
+                self._fx.later(0.3, self._read_types)
+
+        if not self._types:
+            self._store.get(TYPES_KEY, done, Priority.ADMIT)
+
+    def _take_types(self, value: Any) -> None:
+        try:
+            found = msgspec.convert(value, wire.MachineTypes)
+        except msgspec.ValidationError as exc:
+            log.error("bad machine types: %s", exc)
+            return
+        self._types.clear()
+        for rig in found.rigs:
+            self._types[rig.name] = rig
+            for zone in rig.yards:
+                self._own.add(part_key(zone))
+
+    def _ask_types(self) -> None:
+        def answer(status: int | None, body: bytes) -> None:
+            self._calling -= 1
+            if status != 200:
+                return
+            try:
+                found = wire.types_decoder.decode(body)
+            except msgspec.DecodeError as exc:
+                log.error("cloud: bad machine types: %s", exc)
+                return
+            self._types_at = self._fx.now()
+            known = {(rig.name, rig.vcpus, rig.memory_gb, tuple(rig.yards)) for rig in self._types.values()}
+            self._take_types(msgspec.to_builtins(found))
+            if known != {(rig.name, rig.vcpus, rig.memory_gb, tuple(rig.yards)) for rig in found.rigs}:
+                value = msgspec.to_builtins(found)
+                self._store.txn(
+                    {FLEET: self._token or 0}, [state_wire.put(TYPES_KEY, value)], Priority.ADMIT,
+                    lambda outcome, epoch, failed: None,
+                )
+
+        self._call("GET", "/machine_types", None, answer)
+
+    def _call(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        self._calling += 1
+        token = self._token
+
+        def answered(status: int | None, data: bytes) -> None:
+            if status == 429:
+                self._bucket.drain(self._fx.now())
+            if self._token == token:
+                answer(status, data)
+
+        self._fx.cloud(method, target, body, CALL_TIMEOUT_S, answered)
+
+    # -- the step
+
+    def _step(self) -> None:
+        self._fx.later(self._step_every * (0.9 + 0.2 * self._fx.rng.random()), self._step)
+        if self._token is None:
+            return
+        now = self._fx.now()
+        for name, when in list(self._dead.items()):
+            if now - when > 6 * self._lag:
+                del self._dead[name]
+        if self._calling >= 3:
+            return
+        if not self._types or now - self._types_at > 8 * self._lag:
+            if self._bucket.take(1, now):
+                if not self._types:
+                    self._types_at = now
+                self._ask_types()
+            if not self._types:
+                return
+        self._release(now)
+        if not self._listing and now - self._listed_at > self._lag / 3 and self._bucket.take(1, now):
+            self._listed_at = now
+            self._list("", [])
+
+    def plan(self, boxes: dict[str, mesh_wire.BoxState], usage: list[mesh_wire.Usage],
+             demand: list[mesh_wire.Demand]) -> None:
+        """Compare what is up with what is wanted; rent or drain. Called with what all nodes tell."""
+        if self._token is None or not self._types or not self._list_ok:
+            return
+        now = self._fx.now()
+        self._watch_health(boxes, now)
+        self._balance(boxes, usage, demand, now)
+
+    # -- the list
+
+    def _list(self, after: str, found: list[wire.Listed]) -> None:
+        self._listing = True
+
+        def answer(status: int | None, body: bytes) -> None:
+            self._calling -= 1
+            self._listing = False
+            if status != 200:
+                return
+            try:
+                part = wire.listing_decoder.decode(body)
+            except msgspec.DecodeError as exc:
+                log.error("cloud: bad list: %s", exc)
+                return
+            found.extend(part.boxes)
+            if part.more and part.boxes:
+                self._bucket.take(1, self._fx.now())
+                self._list(part.boxes[-1].name_id, found)
+            else:
+                self._take_list(found)
+
+        self._call("GET", f"/rentals?after={after}&page={wire.LIST_PAGE}", None, answer)
+
+    def _take_list(self, listed: list[wire.Listed]) -> None:
+        now = self._fx.now()
+        self._list_ok = True
+        names = set()
+        for item in listed:
+            names.add(item.name_id)
+            if item.name_id in self._dead:
+                continue
+            self._own.add(part_key(item.yard))
+            box = self._boxes.get(item.name_id)
+            if box is None:
+                # Not expected: a request executed late, or an earlier owner's. It is used like any other.
+                box = _Box(item.name_id, item.rig, item.yard, item.loaners, now - item.age_s)
+                self._boxes[item.name_id] = box
+            box.listed = True
+            box.absent = False
+            if item.status == "failed":
+                # It has stopped of its own accord; releasing it takes it off the list, and is the proof.
+                self._fences.setdefault(box.name, now)
+            elif item.status == "running" and box.status == "starting":
+                box.status = "running"
+                box.up_at = now
+        for name, box in self._boxes.items():
+            # Taken back, or the list is an older one: alone this proves nothing.
+            box.absent = box.listed and name not in names
+
+    # -- releases
+
+    def fence(self, machines: list[str]) -> None:
+        """A home needs to know that these are gone."""
+        if self._token is None:
+            return
+        for name in machines:
+            if name in self._dead:
+                self._on_gone([name])
+            else:
+                self._fences.setdefault(name, self._fx.now())
+        self._release(self._fx.now())
+
+    def _release(self, now: float) -> None:
+        names = [name for name in self._fences if name not in self._releasing][: wire.MAX_RELEASE]
+        if not names or not self._bucket.take(1, now):
+            return
+        self._releasing.update(names)
+        log.info("releasing %s", ", ".join(names))
+
+        def answer(status: int | None, _body: bytes) -> None:
+            self._calling -= 1
+            self._releasing.difference_update(names)
+            if status != 200:
+                return
+            for name in names:
+                self._fences.pop(name, None)
+                self._boxes.pop(name, None)
+                self._dead[name] = self._fx.now()
+            self._on_gone(names)
+
+        self._call("POST", "/rentals/release", dumps({"boxes": names}), answer)
+
+    def _watch_health(self, boxes: dict[str, mesh_wire.BoxState], now: float) -> None:
+        lease_s = self._settings.params.workers.lease_s
+        fence_s = self._policy.value("fence_s", self._variables())
+        for box in self._boxes.values():
+            rig = self._types.get(box.rig)
+            ready_s = rig.ready_s if rig else lease_s
+            state = boxes.get(box.name)
+            if state is not None:
+                if box.status == "starting":
+                    box.status, box.up_at = "running", now
+                # Silent and no longer listed: very likely taken back; the release makes it certain.
+                report_s = self._settings.params.workers.report_s
+                if state.heard_s > (3 * report_s if box.absent else fence_s + lease_s):
+                    self._fences.setdefault(box.name, now)
+            elif box.status == "starting" and now - box.born > DEAD_BOOT * ready_s + self._lag:
+                log.info("%s never came up", box.name)
+                self._fences.setdefault(box.name, now)
+            elif box.status == "running" and now - max(box.up_at, self._began) > 4 * lease_s:
+                log.info("%s runs, but its worker does not report", box.name)
+                self._fences.setdefault(box.name, now)
+
+    # -- how many, which, where
+
+    def _balance(
+        self, boxes: dict[str, mesh_wire.BoxState], usage: list[mesh_wire.Usage],
+        demand: list[mesh_wire.Demand], now: float,
+    ) -> None:
+        variables = self._variables()
+        if self._history is None:
+            self._history = DemandHistory(variables["boot_s"])
+        used = sum(item.cpus for item in usage)
+        waiting = sum(machine_cpus(self._types, item) for item in demand)
+        urgent = sum(machine_cpus(self._types, item) for item in demand if item.shape.urgency > 1)
+        patience = self._settings.params.workers.report_s
+        self._history.note(now, used + waiting, urgent, waiting, patience)
+        variables |= {
+            "used": used, "demand": used + waiting, "urgent": self._history.urgent,
+            "peak": self._history.peak, "mean": self._history.mean,
+        }
+        ready = self._policy.value("ready_cpus", variables)
+        up = coming = spot = 0.0
+        for box in self._boxes.values():
+            rig = self._types.get(box.rig)
+            if rig is None or box.name in self._fences:
+                continue
+            state = boxes.get(box.name)
+            if state is not None and (state.doomed or state.sick):
+                continue
+            if state is not None and state.heard_s > self._settings.params.workers.lease_s:
+                continue
+            if box.status == "running":
+                up += rig.vcpus
+            elif now - box.born <= LATE_BOOT * rig.ready_s + self._lag:
+                coming += rig.vcpus
+            spot += rig.vcpus if box.loaners else 0.0
+        lasting = min(self._history.lasting, waiting)
+        target = max(ready, used + waiting if lasting > 0 else 0.0)
+        missing = target - up - coming
+        if lasting > 0:
+            missing = max(missing, lasting - coming)
+        log.debug("fleet: up %g coming %g used %g waiting %g ready %g", up, coming, used, waiting, ready)
+        if missing > 0 and (self._cold or now - self._began > self._lag):
+            self._rent(missing, demand, spot, up + coming, variables, now)
+        self._drain(boxes, up + coming - max(ready, used + waiting), variables, now)
+
+    def _options(self, demand: list[mesh_wire.Demand], spot_ok: bool, now: float) -> list[tuple[float, Option]]:
+        """What could be rented, cheapest first; what waits decides what is of use."""
+        shapes = [(item.shape, item.yard) for item in demand]
+        count: dict[str, int] = {}
+        for box in self._boxes.values():
+            count[box.yard] = count.get(box.yard, 0) + 1
+        quickest = min(rig.ready_s for rig in self._types.values()) or 1.0
+        options: list[tuple[float, Option]] = []
+        for rig in self._types.values():
+            for zone in rig.yards:
+                for loaners in (True, False):
+                    option = (rig.name, zone, loaners)
+                    if loaners and not spot_ok or self._refused.get(option, (0.0, 0.0))[0] > now:
+                        continue
+                    if shapes and not any(
+                        (shape.loaners or not loaners) and (not shape.rigs or rig.name in shape.rigs)
+                        and (yard is None or yard == zone) and slots_per_machine(rig, shape)
+                        for shape, yard in shapes
+                    ):
+                        continue
+                    hourly = rig.spot_price if loaners else rig.hourly
+                    # A machine is paid for while it boots: over a life of some ten boots that adds up.
+                    cost = hourly / max(rig.vcpus, 1e-6) * (1.0 + rig.ready_s / (10 * quickest))
+                    options.append((cost * (1.0 + 0.001 * count.get(zone, 0)), option))
+        options.sort()
+        return options
+
+    def _rent(
+        self, missing: float, demand: list[mesh_wire.Demand], spot: float, total: float,
+        variables: dict[str, float], now: float,
+    ) -> None:
+        if self._renting is not None:
+            return
+        share = self._policy.value("spot_share", variables)
+        spot_ok = spot <= share * (total + missing) and share > 0
+        options = self._options(demand, spot_ok, now)
+        if not options or not self._bucket.take(1, now, keep=self._bucket.burst / 4):
+            return
+        rig_name, zone, loaners = options[0][1]
+        rig = self._types[rig_name]
+        count = max(1, min(wire.MAX_RENT, int(missing / rig.vcpus + 0.75)))
+        self._asked += 1
+        ask = f"{self._own.node}-{self._token}-{self._asked}"  # the token makes it unique for ever
+        self._send_rental(wire.Rental(ask, rig_name, zone, loaners, count))
+
+    def _send_rental(self, rental: wire.Rental) -> None:
+        self._renting = rental
+        option = (rental.rig, rental.yard, rental.loaners)
+
+        def answer(status: int | None, body: bytes) -> None:
+            self._calling -= 1
+            now = self._fx.now()
+            if status == 200:
+                self._renting = None
+                try:
+                    names = wire.rented_decoder.decode(body).boxes
+                except msgspec.DecodeError as exc:
+                    log.error("cloud: bad answer to a rental: %s", exc)
+                    return
+                log.info("rented %d of %d %s in %s%s", len(names), rental.count, rental.rig, rental.yard,
+                         ", spot" if rental.loaners else "")
+                for name in names:
+                    if name not in self._dead:
+                        self._boxes.setdefault(
+                            name, _Box(name, rental.rig, rental.yard, rental.loaners, now)
+                        )
+                if len(names) < rental.count:
+                    self._refuse(option, now)
+                else:
+                    self._refused.pop(option, None)
+            elif status == 503 and b"capacity" in body:
+                self._renting = None
+                self._refuse(option, now)
+            elif status == 400:
+                log.error("cloud: rental refused: %s", body[:200])
+                self._renting = None
+                self._refuse(option, now)
+            else:
+                # Perhaps executed: repeated under its own name, which can rent nothing twice.
+                self._fx.later(0.5 + self._fx.rng.random(), lambda: self._repeat(rental))
+
+        self._call("POST", "/rentals", dumps(rental), answer)
+
+    def _repeat(self, rental: wire.Rental) -> None:
+        if self._token is None or self._renting is not rental:
+            return
+        if self._bucket.take(1, self._fx.now()):
+            self._send_rental(rental)
+        else:
+            self._fx.later(0.5, lambda: self._repeat(rental))
+
+    def _refuse(self, option: Option, now: float) -> None:
+        pause = min(2 * self._refused.get(option, (0.0, self._lag / 2))[1], 4 * self._lag)
+        self._refused[option] = (now + pause * (0.75 + 0.5 * self._fx.rng.random()), pause)
+
+    def _drain(
+        self, boxes: dict[str, mesh_wire.BoxState], surplus: float, variables: dict[str, float], now: float
+    ) -> None:
+        """Return what idles beyond the ready room, the dearest first; and machines that fail their tasks."""
+        idle_return_s = self._policy.value("idle_return_s", variables)
+        wanted: dict[str, set[str]] = {}
+        idle = []
+        for box in self._boxes.values():
+            state = boxes.get(box.name)
+            rig = self._types.get(box.rig)
+            if box.name in self._fences:
+                wanted.setdefault(box.yard, set()).add(box.name)  # it must not be used before it is gone
+                continue
+            if state is None or rig is None:
+                continue
+            if state.sick:
+                wanted.setdefault(box.yard, set()).add(box.name)
+            elif state.idle_s >= idle_return_s and not state.doomed:
+                hourly = rig.spot_price if box.loaners else rig.hourly
+                idle.append((-hourly / max(rig.vcpus, 1e-6), -state.idle_s, box, rig))
+        for _cost, _idle, box, rig in sorted(idle, key=lambda item: (item[0], item[1], item[2].name)):
+            if surplus < rig.vcpus:
+                continue
+            surplus -= rig.vcpus
+            wanted.setdefault(box.yard, set()).add(box.name)
+        for zone in set(wanted) | set(self._drains):
+            owner = self._own.owner(part_key(zone))
+            names = wanted.get(zone, set())
+            if owner is not None and (names or self._drains.get(zone)):
+                self._mesh.send(owner, mesh_wire.Drain(zone, sorted(names)))
+        self._drains = wanted
+        for names in wanted.values():
+            for name in names - self._fences.keys():
+                state = boxes.get(name)
+                if state is not None and state.drained:
+                    self._fences.setdefault(name, now)
+        if self._fences:
+            self._release(now)
--- /dev/null
+++ b/tealhook/http/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP/1.1 on the loop: incremental parser, client and server connections."""
+
+from tealhook.http.client import HttpClient
+from tealhook.http.parser import HttpError, MessageParser, Request, Response
+from tealhook.http.server import HttpServer
+
+__all__ = ["HttpClient", "HttpError", "HttpServer", "MessageParser", "Request", "Response"]
--- /dev/null
+++ b/tealhook/http/server.py
@@ -0,0 +1,134 @@
+"""HTTP server connections on the loop."""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+
+from tealhook.http.parser import HttpError, MessageParser, Request, encode_response
+from tealhook.loop import Loop
+from tealhook.loop.stream import Stream, listen
+from tealhook.wire.common import error_body
+
+log = logging.getLogger("tealhook.http")
+
+Reply = Callable[..., None]
+Handler = Callable[[Request, Reply], None]
+
+
+class _Connection:
+    """One client: a request at a time, each answered before the next is looked at."""
+
+    def __init__(self, server: HttpServer, stream: Stream) -> None:
+        self._server = server
+        self._stream = stream
+        self._parser = MessageParser(responses=False)
+        self._busy = False
+        self.active_at = server.loop.now()
+        self.begun_at = 0.0  # when the request now being read began; 0: none
+        stream.on_data = self._on_data
+        stream.on_close = lambda: server.forget(self)
+
+    @property
+    def busy(self) -> bool:
+        return self._busy
+
+    def close(self) -> None:
+        self._stream.close()
+
+    def _on_data(self, data: bytes) -> None:
+        self.active_at = self._server.loop.now()
+        if not self.begun_at:
+            self.begun_at = self.active_at
+        self._parser.feed(data)
+        self._step()
+
+    def _step(self) -> None:
+        if self._busy or self._stream.closed:
+            return
+        try:
+            request = self._parser.next()
+        except HttpError as exc:
+            self._stream.write(encode_response(exc.status, error_body(str(exc)), False))
+            self._stream.finish()
+            return
+        if request is None:
+            if self._parser.expects_continue:
+                self._parser.expects_continue = False
+                self._stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return
+        self._busy = True
+        self.begun_at = 0.0
+        answered = False
+
+        def reply(status: int, body: bytes = b"{}", retry_after: int | None = None) -> None:
+            nonlocal answered
+            if answered:
+                return
+            answered = True
+            self._busy = False
+            self.active_at = self._server.loop.now()
+            self._server.touch(self)
+            self._stream.write(encode_response(status, body, request.keep_alive, retry_after))
+            if not request.keep_alive:
+                self._stream.finish()
+            elif not self._parser.idle:
+                self._step()
+
+        try:
+            self._server.handler(request, reply)
+        except Exception:
+            log.exception("request failed: %s %s", request.method, request.target)
+            reply(500, error_body("internal error"), 1)
+
+
+class HttpServer:
+    """Listens on `addr`; idle connections are closed when the share is used up or they are too old."""
+
+    def __init__(self, loop: Loop, addr: str, handler: Handler, *, max_connections: int, idle_s: float) -> None:
+        self.loop = loop
+        self.handler = handler
+        self._max = max_connections
+        self._idle_s = idle_s
+        self._connections: OrderedDict[_Connection, None] = OrderedDict()
+        self._sock = listen(addr)
+        loop.watch(self._sock, 1, self._accept)
+        loop.later(idle_s / 4, self._sweep)
+
+    def _accept(self, _events: int) -> None:
+        for _ in range(64):
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            if len(self._connections) >= self._max and not self._evict():
+                sock.close()
+                continue
+            connection = _Connection(self, Stream(self.loop, sock, max_out=1 << 20))
+            self._connections[connection] = None
+
+    def _evict(self) -> bool:
+        """Close the connection that has been idle longest; False when all are at work."""
+        for connection in self._connections:
+            if not connection.busy:
+                connection.close()
+                return True
+        return False
+
+    def touch(self, connection: _Connection) -> None:
+        if connection in self._connections:
+            self._connections.move_to_end(connection)
+
+    def forget(self, connection: _Connection) -> None:
+        self._connections.pop(connection, None)
+
+    def _sweep(self) -> None:
+        """Close what is idle too long, and clients that take too long over one request."""
+        now = self.loop.now()
+        for connection in list(self._connections):
+            slow = connection.begun_at and now - connection.begun_at > self._idle_s / 4
+            if not connection.busy and (now - connection.active_at > self._idle_s or slow):
+                connection.close()
+        self.loop.later(self._idle_s / 4, self._sweep)
--- /dev/null
+++ b/tealhook/jobs/admission.py
@@ -0,0 +1,210 @@
+"""The users' interface: submissions, polls and cancellations, each answered from what is durable.
+
+Whatever can't be done at once is refused at once, with a time to come back; nothing is held up.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tealhook.jobs.book import ACTIVE, CANCELLED, Book, JobRecord, job_key, parse_record
+from tealhook.loop.effects import Effects
+from tealhook.settings import Settings
+from tealhook.store import Outcome, Priority, StateClient
+from tealhook.wire import state as state_wire
+from tealhook.wire.cloud import MachineType
+from tealhook.wire.common import dumps, error_body
+from tealhook.wire.users import BadSpec, JobSpec, JobStatus, parse_job, valid_job_id
+
+log = logging.getLogger("tealhook.jobs")
+
+Reply = Callable[..., Any]
+LONGEST_WAIT_S = 1.0  # for tokens; a user waits 5 s for an answer
+READ_TIMEOUT_S = 1.5  # a user waits 2 s for a poll's answer
+
+
+class Admission:
+    """Any node admits, answers and cancels; the state service decides."""
+
+    def __init__(
+        self, effects: Effects, settings: Settings, store: StateClient, book: Book,
+        types: dict[str, MachineType], progress: dict[str, tuple[int, int]],
+    ) -> None:
+        self._fx = effects
+        self._store = store
+        self._book = book
+        self._types = types
+        self._progress = progress
+        self._teams = {team.name: team for team in settings.params.teams}
+
+    # -- answers
+
+    def _status_body(self, job: str, status: str) -> bytes:
+        if status != ACTIVE:
+            return dumps(JobStatus(job, status))
+        done, running = self._progress.get(job, (0, 0))
+        return dumps(JobStatus(job, "running" if running else "pending", done, running))
+
+    def _later(self, reply: Reply, why: str, after: float = 1.0, status: int = 503) -> None:
+        reply(status, error_body(why), max(1, math.ceil(after)))
+
+    def _busy(self, priority: Priority, reply: Reply) -> bool:
+        """Refuse at once when tokens for the state service are too far off."""
+        if not self._store.served and self._fx.now() - self._store.failed_at < LONGEST_WAIT_S / 4:
+            self._later(reply, "state service unavailable")
+            return True
+        wait = self._store.backlog(priority)
+        if wait > LONGEST_WAIT_S:
+            self._later(reply, "overloaded", wait, 429)
+            return True
+        return False
+
+    # -- submissions
+
+    def submit(self, body: bytes, reply: Reply) -> None:
+        try:
+            spec = parse_job(body)
+        except BadSpec as exc:
+            reply(400, error_body(str(exc)))
+            return
+        ended = self._book.ended.get(spec.name_id)
+        if ended is not None:
+            reply(200, self._status_body(spec.name_id, ended[0]))
+            return
+        if self._busy(Priority.ADMIT, reply):
+            return
+        why = self._never(spec)
+        if why is not None or not self._types:
+            # Whether it was accepted earlier comes first: what is known of teams and types may change.
+            self._answer_known(spec.name_id, reply, why)
+            return
+        record = JobRecord(spec.crew, ACTIVE, spec)
+        key = job_key(spec.name_id)
+
+        def done(outcome: Outcome, epoch: int, _failed: list[str]) -> None:
+            if outcome is Outcome.OK:
+                self._book.learn(spec.name_id, record, epoch)
+                reply(201, self._status_body(spec.name_id, ACTIVE))
+            elif outcome is Outcome.REFUSED:
+                self._later(reply, "state service unavailable")
+            else:
+                # Known already, or nobody knows: read, never guess.
+                self._answer_known(spec.name_id, reply, None)
+
+        value = msgspec.to_builtins(record)
+        if len(dumps(value)) > self._store.value_bytes:
+            reply(400, error_body("too large"))
+            return
+        self._store.txn(
+            {key: 0}, [state_wire.put(key, value)], Priority.ADMIT, done, LONGEST_WAIT_S, READ_TIMEOUT_S
+        )
+
+    def _answer_known(self, job: str, reply: Reply, never: str | None) -> None:
+        """200 when the record exists; else 422 with `never`, or come back later."""
+
+        def read(kind: str, row: state_wire.Row | None) -> None:
+            record = parse_record(row.v) if row is not None else None
+            if record is not None:
+                self._book.learn(job, record, row.stamp)
+                reply(200, self._status_body(job, record.st))
+            elif kind == "absent" and never is not None:
+                reply(422, error_body(never))
+            else:
+                self._later(reply, "not decided yet")
+
+        self._store.get(job_key(job), read, Priority.ADMIT, LONGEST_WAIT_S, READ_TIMEOUT_S)
+
+    def _never(self, spec: JobSpec) -> str | None:
+        """Why a job can never run; None when it can, or when that is not known yet."""
+        team = self._teams.get(spec.crew)
+        if team is None:
+            return "unknown team"
+        if 0 < team.cpus_max < spec.vcpus or 0 < team.gpus_max < spec.cards:
+            return "a task needs more than the team's limit"
+        if not self._types:
+            return None
+        for rig in self._types.values():
+            if spec.rigs is not None and rig.name not in spec.rigs:
+                continue
+            if spec.yard is not None and spec.yard not in rig.yards:
+                continue
+            if rig.fits(spec.need):
+                break
+        else:
+            return "a task fits no allowed machine type"
+        if spec.spread and spec.plays > 1 and (spec.together or spec.yard is not None):
+            return "spread tasks can't all be in one zone"
+        return None
+
+    # -- polls
+
+    def show(self, job: str, reply: Reply) -> None:
+        if not valid_job_id(job):
+            reply(404, error_body("no such job"))
+            return
+        ended = self._book.ended.get(job)
+        if ended is not None:
+            reply(200, self._status_body(job, ended[0]))
+            return
+
+        def read(kind: str, row: state_wire.Row | None) -> None:
+            record = parse_record(row.v) if row is not None else None
+            if record is not None:
+                self._book.learn(job, record, row.stamp)
+                reply(200, self._status_body(job, record.st))
+            elif kind == "absent":
+                reply(404, error_body("no such job"))
+            else:
+                self._later(reply, "state service unavailable")
+
+        self._store.get(job_key(job), read, Priority.ADMIT, LONGEST_WAIT_S, READ_TIMEOUT_S)
+
+    # -- cancellations
+
+    def cancel(self, job: str, reply: Reply, tries: int = 3) -> None:
+        if not valid_job_id(job):
+            reply(404, error_body("no such job"))
+            return
+        ended = self._book.ended.get(job)
+        if ended is not None:
+            reply(200, dumps(JobStatus(job, ended[0])))
+            return
+        if self._busy(Priority.ADMIT, reply):
+            return
+
+        def read(kind: str, row: state_wire.Row | None) -> None:
+            record = parse_record(row.v) if row is not None else None
+            if record is not None and record.st != ACTIVE:
+                self._book.learn(job, record, row.stamp)
+                reply(200, dumps(JobStatus(job, record.st)))
+            elif record is not None:
+                self._cancel(job, record, row.stamp, reply, tries)
+            elif kind == "absent":
+                reply(404, error_body("no such job"))
+            else:
+                self._later(reply, "state service unavailable")
+
+        self._store.get(job_key(job), read, Priority.ADMIT, LONGEST_WAIT_S, READ_TIMEOUT_S)
+
+    def _cancel(self, job: str, record: JobRecord, stamp: int, reply: Reply, tries: int) -> None:
+        after = JobRecord(record.t, CANCELLED)
+
+        def done(outcome: Outcome, epoch: int, _failed: list[str]) -> None:
+            if outcome is Outcome.OK:
+                self._book.learn(job, after, epoch)
+                reply(200, dumps(JobStatus(job, CANCELLED)))
+            elif outcome is Outcome.REFUSED or tries <= 0:
+                self._later(reply, "state service unavailable")
+            else:
+                self.cancel(job, reply, tries - 1)  # done meanwhile, or nobody knows: read again
+
+        key = job_key(job)
+        self._store.txn(
+            {key: stamp}, [state_wire.put(key, msgspec.to_builtins(after))], Priority.ADMIT, done,
+            LONGEST_WAIT_S, READ_TIMEOUT_S,
+        )
--- /dev/null
+++ b/tealhook/jobs/job.py
@@ -0,0 +1,195 @@
+"""One job in its home: which tasks are done, waiting, or assigned, and the durable record of that."""
+
+from __future__ import annotations
+
+import heapq
+from typing import Any
+
+from tealhook.jobs.book import Known
+from tealhook.placement import Placed
+from tealhook.wire.mesh import Shape
+from tealhook.wire.users import URGENCY_RANK, JobSpec
+
+LIVE = "live/"
+AVOID = 8  # machines on which a job failed lately, not tried again at once
+
+
+def live_key(team: str, job: str) -> str:
+    return f"{LIVE}{team}/{job}"
+
+
+class Attempt:
+    """A task's assignment to a machine, durable before it is launched."""
+
+    __slots__ = (
+        "index", "number", "machine", "shift", "zone", "token", "status", "placed", "rid", "ack_seq",
+        "open_until", "at", "stopping",
+    )
+
+    def __init__(self, index: int, number: int, machine: str, shift: int, zone: str, token: int, at: float) -> None:
+        self.index = index
+        self.number = number
+        self.machine = machine
+        self.shift = shift
+        self.zone = zone
+        self.token = token  # the part's, when room was reserved
+        self.status = "assigned"
+        self.placed: Placed | None = None  # only for tasks that this home placed
+        self.rid = 0
+        # News under `token` prove absence only above this number; None: the launch is not resolved.
+        self.ack_seq: int | None = None
+        # Until then a launch of ours may still reach the part; from then on its reservation has expired.
+        self.open_until = 0.0
+        self.at = at
+        self.stopping = False
+
+
+class Job:
+    """A job's tasks. Every change that must last is marked; the home commits it."""
+
+    def __init__(self, job: str, team: str, known: Known | None, now: float) -> None:
+        self.id = job
+        self.team = team
+        self.spec: JobSpec | None = known.spec if known else None
+        self.need = self.spec.need if self.spec else (0.0, 0.0, 0.0)
+        self.stamp = known.stamp if known else 0
+        self.live_stamp = 0
+        self.counter = 0  # highest attempt number given out; attempts only grow
+        self.plays = self.spec.plays if self.spec else 0
+        self.done = bytearray(self.plays)
+        self.done_count = 0
+        self.attempts: dict[int, Attempt] = {}
+        self.staged: dict[int, Attempt] = {}  # being made durable
+        self._next_fresh = 0
+        self._returned: list[int] = []
+        self.since = now  # when it was first seen here
+        self.waiting_since = now
+        self.soft = False  # something changed that need not be durable at once
+        self.soft_at = 0.0
+        self.committing = False
+        self.unsure = False
+        self.loaded = False  # the durable record has been read
+        self.to_clear: list[tuple[str, str, int, int]] = []  # (zone, machine, index, attempt) once durable
+        self.failures = 0
+        self.not_before = 0.0
+        self.avoid: list[str] = []
+
+    @property
+    def running_job(self) -> bool:
+        return self.spec is not None
+
+    @property
+    def finished(self) -> bool:
+        return self.spec is not None and self.done_count >= self.plays
+
+    def waiting(self) -> int:
+        """Tasks that are neither done nor assigned."""
+        if self.spec is None:
+            return 0
+        return self.plays - self.done_count - len(self.attempts) - len(self.staged)
+
+    def shape(self) -> Shape:
+        spec = self.spec
+        return Shape(
+            spec.vcpus, spec.cards, spec.memory_gb, spec.playbook or "", spec.pull_gb, spec.loaners,
+            tuple(spec.rigs or ()), URGENCY_RANK[spec.urgency], spec.expected_s,
+        )
+
+    def take_waiting(self, count: int) -> list[int]:
+        """Up to `count` waiting tasks, lowest numbers first."""
+        taken: list[int] = []
+        while len(taken) < count:
+            if self._returned:
+                index = heapq.heappop(self._returned)
+            elif self._next_fresh < self.plays:
+                index = self._next_fresh
+                self._next_fresh += 1
+            else:
+                break
+            if not self.done[index] and index not in self.attempts and index not in self.staged:
+                taken.append(index)
+        return taken
+
+    def give_back(self, index: int, now: float) -> None:
+        """A task waits again."""
+        if index < self.plays and not self.done[index]:
+            heapq.heappush(self._returned, index)
+            if self.waiting() <= 1:
+                self.waiting_since = now
+
+    def mark_done(self, index: int) -> None:
+        if index < self.plays and not self.done[index]:
+            self.done[index] = 1
+            self.done_count += 1
+
+    def note_failure(self, machine: str) -> None:
+        self.failures += 1
+        if machine in self.avoid:
+            self.avoid.remove(machine)
+        self.avoid.append(machine)
+        del self.avoid[:-AVOID]
+
+    def running(self) -> int:
+        return sum(1 for attempt in self.attempts.values() if attempt.status in ("running", "flushing"))
+
+    def in_zone(self, zone: str) -> int:
+        """Tasks that may be on machines of a zone."""
+        return sum(1 for a in self.attempts.values() if a.zone == zone) + sum(
+            1 for a in self.staged.values() if a.zone == zone
+        )
+
+    def zones(self) -> set[str]:
+        return {a.zone for a in self.attempts.values()} | {a.zone for a in self.staged.values()}
+
+    # -- the durable record
+
+    def encode(self) -> dict:
+        """The value of `live/<team>/<id>`, compact: done as ranges, assignments by machine."""
+        ranges = []
+        start = self.done.find(1)
+        while start >= 0:
+            end = self.done.find(0, start)
+            if end < 0:
+                end = len(self.done)
+            ranges.append([start, end - 1])
+            start = self.done.find(1, end)
+        machines: dict[str, list] = {}
+        for group in (self.attempts, self.staged):
+            for a in group.values():
+                machines.setdefault(f"{a.machine} {a.shift} {a.zone} {a.token}", []).append([a.index, a.number])
+        return {"q": list(self.need), "c": self.counter, "d": ranges, "m": machines}
+
+    def load(self, value: Any, stamp: int, now: float, off: set[tuple[int, int]] | None = None) -> None:
+        """Take over a durable record; raises ValueError when it is not one.
+
+        `off`: attempts already proved gone by this home since the record was written.
+        """
+        try:
+            need = tuple(float(x) for x in value["q"])
+            counter = int(value["c"])
+            ranges = [(int(first), int(last)) for first, last in value["d"]]
+            found: list[Attempt] = []
+            for place, tasks in value["m"].items():
+                machine, shift, zone, token = place.split(" ")
+                for index, number in tasks:
+                    found.append(Attempt(int(index), int(number), machine, int(shift), zone, int(token), now))
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            raise ValueError(f"bad live record of {self.id}: {exc}") from None
+        if self.spec is None and len(need) == 3:
+            self.need = need
+        self.counter = max(self.counter, counter)
+        self.live_stamp = stamp
+        for first, last in ranges:
+            for index in range(first, min(last + 1, self.plays)):
+                self.mark_done(index)
+        for attempt in found:
+            present = self.attempts.get(attempt.index)
+            if present is not None and present.number >= attempt.number:
+                continue
+            if off and (attempt.index, attempt.number) in off:
+                continue
+            if attempt.index < self.plays and self.done[attempt.index]:
+                # Done, but an earlier assignment is still on record: it counts until it is proved off.
+                pass
+            self.attempts[attempt.index] = attempt
+        self.loaded = True
--- /dev/null
+++ b/tealhook/loop/loop.py
@@ -0,0 +1,100 @@
+"""A small event loop: readiness by `selectors`, timers by a heap."""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import selectors
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+log = logging.getLogger("tealhook.loop")
+
+MAX_POLL_S = 1.0
+
+
+class Timer:
+    """A call due at a time; `cancel` makes it void."""
+
+    __slots__ = ("when", "order", "call")
+
+    def __init__(self, when: float, order: int, call: Callable[[], Any] | None) -> None:
+        self.when = when
+        self.order = order
+        self.call = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+    def __lt__(self, other: Timer) -> bool:
+        return (self.when, self.order) < (other.when, other.order)
+
+
+class Loop:
+    """Runs callbacks of sockets and timers, one at a time, in one thread."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[Timer] = []
+        self._lock = threading.Lock()  # guards the timer heap, the only state other threads may touch
+        self._order = 0
+        self._stopped = False
+
+    @staticmethod
+    def now() -> float:
+        return time.monotonic()
+
+    def later(self, delay: float, call: Callable[[], Any]) -> Timer:
+        with self._lock:
+            self._order += 1
+            timer = Timer(self.now() + max(0.0, delay), self._order, call)
+            heapq.heappush(self._timers, timer)
+        return timer
+
+    def watch(self, sock: Any, events: int, call: Callable[[int], Any]) -> None:
+        """Call back with the ready events of `sock`; replaces what was asked before."""
+        try:
+            self._selector.modify(sock, events, call)
+        except KeyError:
+            self._selector.register(sock, events, call)
+
+    def unwatch(self, sock: Any) -> None:
+        try:
+            self._selector.unregister(sock)
+        except (KeyError, ValueError):
+            pass
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def _due(self) -> list[Timer]:
+        now = self.now()
+        due = []
+        with self._lock:
+            while self._timers and (self._timers[0].when <= now or self._timers[0].call is None):
+                due.append(heapq.heappop(self._timers))
+        return due
+
+    def _pause(self) -> float:
+        with self._lock:
+            if not self._timers:
+                return MAX_POLL_S
+            return min(MAX_POLL_S, max(0.0, self._timers[0].when - self.now()))
+
+    def run(self) -> None:
+        """Run until `stop`. A callback that raises is logged; none ends the process."""
+        while not self._stopped:
+            for key, events in self._selector.select(self._pause()):
+                self._guard(lambda call=key.data, ready=events: call(ready))
+            for timer in self._due():
+                if timer.call is not None:
+                    self._guard(timer.call)
+
+    @staticmethod
+    def _guard(call: Callable[[], Any]) -> None:
+        try:
+            call()
+        except Exception:
+            log.exception("callback failed")
--- /dev/null
+++ b/tealhook/mesh/mesh.py
@@ -0,0 +1,112 @@
+"""Calls between controllers. Any message may be late, lost or repeated: every handler allows for that."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tealhook.loop.effects import Effects
+from tealhook.wire import mesh as wire
+
+log = logging.getLogger("tealhook.mesh")
+
+Answered = Callable[[Any], Any]  # the reply, or None when none came in time
+
+
+class Mesh:
+    """`handler(sender, body, reply)` serves requests; `reply` may be called later, or never."""
+
+    def __init__(self, effects: Effects, node: str, peers: list[str]) -> None:
+        self._fx = effects
+        self.node = node
+        self.peers = peers
+        self._boot = effects.rng.getrandbits(62)
+        self._number = 0
+        self._pending: dict[int, Answered] = {}
+        self._latest: dict[str, tuple[int, int]] = {}  # sender -> (boot, number of the newest gossip)
+        self._retired: dict[str, set[int]] = {}
+        self.heard: dict[str, float] = {}
+        self.handler: Callable[[str, Any, Callable[[Any], None]], None] = lambda sender, body, reply: None
+
+    def _frame(self, call: int, body: Any) -> bytes:
+        self._number += 1
+        return wire.envelope_encoder.encode(wire.Envelope(self.node, self._boot, self._number, call, body))
+
+    def send(self, peer: str, body: Any) -> None:
+        """One-way. To ourselves it is delivered in the next turn of the loop."""
+        if peer == self.node:
+            self._fx.later(0.0, lambda: self.handler(self.node, body, lambda reply: None))
+        else:
+            self._fx.mesh(peer, self._frame(0, body))
+
+    def broadcast(self, body: Any) -> None:
+        """One-way to every node, this one included."""
+        for peer in (self.node, *self.peers):
+            self.send(peer, body)
+
+    def call(self, peer: str, body: Any, timeout: float, answered: Answered) -> None:
+        """Exactly one call of `answered`: with the reply, or None."""
+        self._number += 1
+        number = self._number
+        timer = self._fx.later(timeout, lambda: self._finish(number, None))
+
+        def once(reply: Any) -> None:
+            timer.cancel()
+            answered(reply)
+
+        self._pending[number] = once
+        if peer == self.node:
+            self._fx.later(
+                0.0, lambda: self.handler(self.node, body, lambda reply: self._finish(number, reply))
+            )
+        else:
+            frame = wire.envelope_encoder.encode(wire.Envelope(self.node, self._boot, number, number, body))
+            self._fx.mesh(peer, frame)
+
+    def _finish(self, number: int, reply: Any) -> None:
+        answered = self._pending.pop(number, None)
+        if answered is not None:
+            answered(reply)
+
+    def on_frame(self, frame: bytes) -> None:
+        """A frame from a peer; one that can't be read is treated as not received."""
+        try:
+            envelope = wire.envelope_decoder.decode(frame)
+        except msgspec.DecodeError as exc:
+            log.error("mesh: bad message: %s", exc)
+            return
+        sender = envelope.sender
+        if sender not in self.peers:
+            return
+        self.heard[sender] = self._fx.now()
+        if envelope.call < 0:
+            # A reply names the call's number; numbers of an earlier process of ours are told apart by boot.
+            if envelope.boot == self._boot:
+                self._finish(-envelope.call, envelope.body)
+            return
+        if isinstance(envelope.body, wire.Gossip) and not self._newest(envelope):
+            return
+
+        def reply(body: Any) -> None:
+            if envelope.call:
+                answer = wire.Envelope(self.node, envelope.boot, 0, -envelope.call, body)
+                self._fx.mesh(sender, wire.envelope_encoder.encode(answer))
+
+        self.handler(sender, envelope.body, reply)
+
+    def _newest(self, envelope: wire.Envelope) -> bool:
+        """Whether gossip is newer than what was heard; late copies from before a restart are dropped."""
+        boot, number = self._latest.get(envelope.sender, (0, 0))
+        retired = self._retired.setdefault(envelope.sender, set())
+        if envelope.boot in retired:
+            return False
+        if envelope.boot != boot:
+            if boot:
+                retired.add(boot)
+        elif envelope.number <= number:
+            return False
+        self._latest[envelope.sender] = (envelope.boot, envelope.number)
+        return True
--- /dev/null
+++ b/tealhook/mesh/transport.py
@@ -0,0 +1,98 @@
+"""Mesh frames over TCP: a length of four bytes, then the frame."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from tealhook.loop import Loop
+from tealhook.loop.stream import Stream, listen
+from tealhook.wire.mesh import MAX_FRAME
+
+log = logging.getLogger("tealhook.mesh")
+
+HEAD = 4
+MAX_QUEUED = 1 << 20
+
+
+class _Frames:
+    """Cuts a byte stream into frames; None for a frame that is too large."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes] | None:
+        self._buffer += data
+        frames = []
+        while len(self._buffer) >= HEAD:
+            size = int.from_bytes(self._buffer[:HEAD], "big")
+            if size > MAX_FRAME:
+                return None
+            if len(self._buffer) < HEAD + size:
+                break
+            frames.append(bytes(self._buffer[HEAD : HEAD + size]))
+            del self._buffer[: HEAD + size]
+        return frames
+
+
+class MeshTransport:
+    """Sends on one connection to each peer, receives on those that peers make."""
+
+    def __init__(
+        self, loop: Loop, addr: str, peers: dict[str, str], on_frame: Callable[[bytes], None], patience_s: float
+    ) -> None:
+        self._loop = loop
+        self._peers = peers
+        self._on_frame = on_frame
+        self._patience_s = patience_s
+        self._lines: dict[str, Stream] = {}
+        self._begun: dict[str, float] = {}
+        self._incoming: set[Stream] = set()
+        self._max_incoming = 4 * max(1, len(peers))
+        self._sock = listen(addr, 32)
+        loop.watch(self._sock, 1, self._accept)
+
+    def send(self, peer: str, frame: bytes) -> None:
+        """Best effort: dropped when the peer can't be reached or does not read."""
+        line = self._lines.get(peer)
+        if line is not None and not line.connected and self._loop.now() - self._begun[peer] > self._patience_s:
+            line.close()
+            line = None
+        if line is None or line.closed:
+            line = Stream.connect(self._loop, self._peers[peer], MAX_QUEUED)
+            if line is None:
+                return
+            self._lines[peer] = line
+            self._begun[peer] = self._loop.now()
+        line.write(len(frame).to_bytes(HEAD, "big") + frame)
+
+    def reset(self, peer: str) -> None:
+        """Begin anew with a peer from which nothing is heard: its connection may hang for ever."""
+        line = self._lines.pop(peer, None)
+        if line is not None:
+            line.close()
+
+    def _accept(self, _events: int) -> None:
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            if len(self._incoming) >= self._max_incoming:
+                oldest = next(iter(self._incoming))
+                oldest.close()
+            stream = Stream(self._loop, sock)
+            frames = _Frames()
+            self._incoming.add(stream)
+            stream.on_close = lambda stream=stream: self._incoming.discard(stream)
+            stream.on_data = lambda data, stream=stream, frames=frames: self._data(stream, frames, data)
+
+    def _data(self, stream: Stream, frames: _Frames, data: bytes) -> None:
+        whole = frames.feed(data)
+        if whole is None:
+            log.error("mesh: frame too large")
+            stream.close()
+            return
+        for frame in whole:
+            self._on_frame(frame)
--- /dev/null
+++ b/tealhook/parts/__init__.py
@@ -0,0 +1,5 @@
+"""Parts: the machines of one zone, their reports, room, commands and drain."""
+
+from tealhook.parts.keeper import PartKeeper
+
+__all__ = ["PartKeeper"]
--- /dev/null
+++ b/tealhook/parts/keeper.py
@@ -0,0 +1,124 @@
+"""All parts that this node owns, and what it answers to workers."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tealhook.jobs.book import Book
+from tealhook.loop.effects import Effects
+from tealhook.mesh import Mesh
+from tealhook.parts.part import Part
+from tealhook.settings import Settings
+from tealhook.store import Ownership, part_key
+from tealhook.wire import mesh as mesh_wire
+from tealhook.wire import workers as wire
+from tealhook.wire.cloud import MachineType
+from tealhook.wire.common import dumps, error_body
+
+log = logging.getLogger("tealhook.parts")
+
+Reply = Callable[[int, bytes], Any]
+NEVER_S = 1e9
+MAX_TRACKED = 4096
+DRIFT = 1.001  # two steady clocks, each at most 0.05% off
+
+
+class PartKeeper:
+    """Answers reports for owned parts, sends workers on to other owners, relays when they can't get there."""
+
+    def __init__(
+        self, effects: Effects, settings: Settings, ownership: Ownership, book: Book, mesh: Mesh,
+        types: dict[str, MachineType], tell: Callable[[str, mesh_wire.MachineNews], Any],
+        strangers: Callable[[str], Any],
+    ) -> None:
+        self._fx = effects
+        self._settings = settings
+        self._own = ownership
+        self._book = book
+        self._mesh = mesh
+        self._types = types
+        self._tell = tell
+        self._strangers = strangers
+        self.parts: dict[str, Part] = {}
+        self.over: dict[str, float] = {}
+        self._sent_on: dict[str, float] = {}  # machine -> when it was last sent on to the owner
+        self._relaying: dict[str, float] = {}  # machine -> since when its reports are relayed
+        workers = settings.params.workers
+        # Once our view of cancellations is older than this, a task that was cancelled meanwhile must be
+        # left to die by its worker's lease: the lease ends at most lease_s after the last report that we
+        # answered was sent.
+        self._blind_s = workers.cancel_s - DRIFT * workers.lease_s - workers.report_s / 4
+        self.on_zone: Callable[[str], Any] = lambda zone: None
+
+    def owned(self, zone: str, token: int | None) -> None:
+        """Ownership of a part came or went."""
+        if token is None:
+            self.parts.pop(zone, None)
+        else:
+            self.parts[zone] = Part(
+                self._fx, self._settings, zone, token, self._book, self._types, self.over, self._tell,
+                self._strangers,
+            )
+
+    def forget(self, machine: str) -> None:
+        for part in self.parts.values():
+            part.forget(machine)
+
+    def report(self, body: bytes, reply: Reply, *, relayed: bool = False) -> None:
+        """A worker's report, made to us or relayed by another node."""
+        try:
+            report = wire.report_decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            reply(400, error_body(str(exc)))
+            return
+        key = part_key(report.yard)
+        part = self.parts.get(report.yard)
+        if part is None:
+            self.on_zone(report.yard)
+            self._elsewhere(report, body, reply, self._own.owner(key), relayed)
+            return
+        if report.baton > part.token:
+            # Somebody owns the part by a higher token: a 200 of ours would be dropped and hold the worker.
+            owner = self._own.owner(key) if (self._own.token(key) or 0) >= report.baton else None
+            self._elsewhere(report, body, reply, owner, relayed)
+            return
+        if self._book.watcher.age() > self._blind_s:
+            reply(503, error_body("cancellations unknown"))
+            return
+        self._sent_on.pop(report.box, None)
+        reply(200, part.on_report(report))
+
+    def _elsewhere(self, report: wire.Report, body: bytes, reply: Reply, owner: str | None, relayed: bool) -> None:
+        if owner is None or owner == self._own.node:
+            reply(503 if owner is None else 421, error_body("owner unknown") if owner is None else b"{}")
+            return
+        now = self._fx.now()
+        lease_s = self._settings.params.workers.lease_s
+        sent = self._sent_on.get(report.box, -NEVER_S)
+        since = self._relaying.get(report.box, now)
+        # It has the owner's token, or was sent there and is back: it can't reach the owner, but perhaps we
+        # can. Now and then it is sent on all the same, to find out whether it can again.
+        stranded = report.baton == self._own.token(part_key(report.yard)) or now - sent < lease_s
+        if not relayed and stranded and now - since < 4 * lease_s:
+            if len(self._relaying) > MAX_TRACKED:
+                self._relaying.clear()
+            self._relaying.setdefault(report.box, now)
+
+            def answered(answer: Any) -> None:
+                if isinstance(answer, mesh_wire.RelayReply):
+                    reply(answer.status, answer.body)
+                else:
+                    self._relaying.pop(report.box, None)
+                    reply(421, dumps({"boss": owner}))
+
+            self._mesh.call(owner, mesh_wire.Relay(body), min(2.0, lease_s / 6), answered)
+            return
+        self._relaying.pop(report.box, None)
+        if len(self._sent_on) > MAX_TRACKED:
+            self._sent_on.clear()
+        self._sent_on[report.box] = now
+        reply(421, dumps({"boss": owner}))
--- /dev/null
+++ b/tealhook/parts/machine.py
@@ -0,0 +1,121 @@
+"""One machine as its part's owner knows it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from tealhook.wire import workers as wire
+from tealhook.wire.cloud import MachineType
+
+Need = tuple[float, float, float]
+EPSILON = 1e-6
+MAX_RESENDS = 3
+
+
+@dataclass(slots=True)
+class Held:
+    """A task on the machine, by its latest report."""
+
+    play: str
+    job: str
+    index: int
+    attempt: int
+    status: str
+    cause: str | None
+    since: float
+    ran_from: float = 0.0  # when it was first seen running; 0: not yet
+    yields_to: int = 0  # reservation that takes its room
+
+    @property
+    def alive(self) -> bool:
+        return self.status != wire.EXITED
+
+
+@dataclass(slots=True)
+class Booking:
+    """Room given to a task that the worker has not reported yet: reserved, then launching."""
+
+    rid: int
+    team: str
+    job: str
+    need: Need
+    image: str
+    expires: float
+    victims: list[tuple[str, int]] = field(default_factory=list)
+    index: int = -1
+    attempt: int = 0
+    launching: bool = False
+    sent_tick: int = -1  # tick of the report whose response last carried the launch
+    sends: int = 0
+    revoked: bool = False
+
+    @property
+    def play(self) -> str:
+        return f"{self.job}/{self.index}"
+
+
+class Machine:
+    """Reports update it, reservations book room on it, responses carry its commands."""
+
+    def __init__(self, report: wire.Report, now: float) -> None:
+        self.name = report.box
+        self.rig = report.rig
+        self.loaners = report.loaners
+        self.addr = report.addr
+        self.shift = report.shift
+        self.tick = -1
+        self.heard_at = now
+        self.first_at = now
+        self.sure = False  # a report under our token has shown what is on it
+        self.doomed = False  # the cloud has said that it takes the machine
+        self.drained = False
+        self.sick = False
+        self.held: dict[tuple[str, int], Held] = {}
+        self.bookings: dict[int, Booking] = {}
+        self.kills: dict[tuple[str, int], float] = {}
+        self.clears: set[tuple[str, int]] = set()
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.idle_since = now
+        self.failed_jobs: set[str] = set()
+        self.told: dict[str, tuple] = {}  # what each home's owner was last told, and when
+        self.hold_for: tuple[str, float] | None = None  # an aged job that holds the room, until when
+
+    def usable(self, now: float, patience: float) -> bool:
+        """Whether a task given now would start within a report period, as far as can be known."""
+        return (
+            self.sure and not self.doomed and not self.drained and not self.sick
+            and now - self.heard_at <= patience
+        )
+
+    def open_bookings(self) -> list[Booking]:
+        return list(self.bookings.values())
+
+    def cache(self, image: str, size: float, room: float) -> None:
+        """Note that the machine has an image; the least recently used ones go first."""
+        if not image:
+            return
+        self.images[image] = size
+        self.images.move_to_end(image)
+        while len(self.images) > 1 and sum(self.images.values()) > room:
+            self.images.popitem(last=False)
+
+    def has_image(self, image: str) -> bool:
+        return not image or image in self.images
+
+
+def fits(free: list[float], need: Need) -> bool:
+    return need[0] <= free[0] + EPSILON and need[1] <= free[1] + EPSILON and need[2] <= free[2] + EPSILON
+
+
+def slots(free: list[float], need: Need) -> int:
+    """How many tasks of `need` fit into `free`."""
+    count = 1_000_000
+    for have, want in zip(free, need, strict=True):
+        if want > 0:
+            count = min(count, int((have + EPSILON) / want))
+    return max(0, count)
+
+
+def capacity(rig: MachineType) -> list[float]:
+    return [rig.vcpus, rig.cards, rig.memory_gb]
--- /dev/null
+++ b/tealhook/placement/minmin.py
@@ -0,0 +1,135 @@
+"""The round: cloud min-min over groups of equal tasks and parts.
+
+The paper's Algorithm 3 takes, again and again, the pair of mappable task and cloud with the earliest
+estimated finish. Tasks of one job with equal needs are one group here, so a step assigns as many of them as
+the part can start at that same estimate, and a round costs groups x parts rather than tasks x parts. Ranks
+(urgency, guarantee) come before min-min's order; within a rank it is min-min.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from tealhook.placement.feedback import FLOOR_S
+
+NEVER_S = 1e8
+
+
+@dataclass(slots=True)
+class PartView:
+    """A part's answer for one group, and what is left of it as the round goes on."""
+
+    cached: int
+    uncached: int
+    next_s: float
+    rate: float
+    factor: float
+
+
+@dataclass(slots=True)
+class Group:
+    """Mappable tasks of one job."""
+
+    job: str
+    count: int
+    rank: tuple
+    image_gb: float
+    run_s: float
+    need: tuple[float, float, float]
+    parts: dict[str, PartView]
+    aged: bool = False
+    can_preempt: bool = False
+    limits: dict[str, int] = field(default_factory=dict)  # zone -> most tasks that may still go there
+
+
+@dataclass(slots=True)
+class Choice:
+    """`count` tasks of a group for one part; `hold`: room is held there instead, nothing can start."""
+
+    group: Group
+    zone: str
+    count: int
+    finish_s: float
+    hold: bool = False
+
+
+def finish(view: PartView, group: Group, free_s: float, fetch_s: float) -> float:
+    """Earliest free time plus (1 + factor) x (fetch + run): the paper's equation 8."""
+    return free_s + (1.0 + view.factor) * max(FLOOR_S, fetch_s + group.run_s)
+
+
+def _best_now(group: Group, zone: str, view: PartView) -> tuple[float, int, bool] | None:
+    """(finish, slots, cached) of the best free room of a part, if it has any."""
+    most = group.limits.get(zone, group.count)
+    if most <= 0:
+        return None
+    if view.cached > 0:
+        return finish(view, group, 0.0, 0.0), min(view.cached, most), True
+    if view.uncached > 0:
+        return finish(view, group, 0.0, group.image_gb / view.rate), min(view.uncached, most), False
+    return None
+
+
+def _best_pair(group: Group) -> Choice | None:
+    best: Choice | None = None
+    for zone in sorted(group.parts):
+        view = group.parts[zone]
+        now = _best_now(group, zone, view)
+        if now is not None:
+            choice = Choice(group, zone, min(group.count, now[1]), now[0])
+        elif view.next_s < NEVER_S and group.limits.get(zone, group.count) > 0:
+            fetch = group.image_gb / view.rate if not view.cached else 0.0
+            choice = Choice(group, zone, group.count, finish(view, group, view.next_s, fetch), hold=True)
+        else:
+            continue
+        if best is None or choice.finish_s < best.finish_s:
+            best = choice
+    return best
+
+
+def _take(group: Group, choice: Choice, groups: list[Group]) -> None:
+    """Count a choice against what every group believes of that part."""
+    zone, count = choice.zone, choice.count
+    view = group.parts[zone]
+    was_cached = view.cached > 0
+    for other in groups:
+        seen = other.parts.get(zone)
+        if seen is None:
+            continue
+        if other is group:
+            used = count
+        else:  # the same room, in units of the other group's tasks
+            share = max(
+                (mine / theirs for mine, theirs in zip(group.need, other.need, strict=True) if theirs > 0),
+                default=0.0,
+            )
+            used = int(count * share + 0.999)
+        first, second = ("cached", "uncached") if (other is not group or was_cached) else ("uncached", "cached")
+        from_first = min(used, getattr(seen, first))
+        setattr(seen, first, getattr(seen, first) - from_first)
+        setattr(seen, second, max(0, getattr(seen, second) - (used - from_first)))
+    if zone in group.limits:
+        group.limits[zone] -= count
+    group.count -= count
+
+
+def plan_round(groups: list[Group], most: int = 64) -> list[Choice]:
+    """Choices in the order in which they were made; at most `most` of them."""
+    choices: list[Choice] = []
+    for rank in sorted({group.rank for group in groups}):
+        open_groups = [group for group in groups if group.rank == rank and group.count > 0]
+        while open_groups and len(choices) < most:
+            pairs = [pair for pair in map(_best_pair, open_groups) if pair is not None]
+            if not pairs:
+                break
+            best = min(pairs, key=lambda pair: (pair.finish_s, pair.group.job, pair.zone))
+            if best.hold:
+                # Nothing of this group can start where it would finish first: its tasks wait for that.
+                choices.append(best)
+                open_groups.remove(best.group)
+                continue
+            choices.append(best)
+            _take(best.group, best, groups)
+            if best.group.count <= 0:
+                open_groups.remove(best.group)
+    return choices
--- /dev/null
+++ b/tealhook/runtime.py
@@ -0,0 +1,89 @@
+"""The real world behind `Effects`: sockets, clock and chance."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from tealhook.controller import Controller
+from tealhook.http import HttpClient, HttpServer
+from tealhook.loop import Loop, Timer
+from tealhook.mesh.transport import MeshTransport
+from tealhook.settings import Policy, Settings
+
+log = logging.getLogger("tealhook")
+
+STATE_LINES = 12
+CLOUD_LINES = 4
+WORKER_LINES = 1
+MAX_WORKER_CLIENTS = 64
+
+
+class Runtime:
+    """Implements `Effects` on the loop."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.loop = Loop()
+        self.rng = random.Random()
+        self.now = self.loop.now
+        self._state = HttpClient(self.loop, settings.services.state, max_lines=STATE_LINES)
+        self._cloud = HttpClient(self.loop, settings.services.cloud, max_lines=CLOUD_LINES, keep=1)
+        self._workers: dict[str, HttpClient] = {}
+        self.transport: MeshTransport | None = None
+
+    def later(self, delay: float, call: Callable[[], Any]) -> Timer:
+        return self.loop.later(delay, call)
+
+    def state(self, method, target, body, timeout, answer) -> None:
+        self._state.request(method, target, body, timeout, answer)
+
+    def cloud(self, method, target, body, timeout, answer) -> None:
+        self._cloud.request(method, target, body, timeout, answer)
+
+    def worker(self, addr, method, target, body, timeout, answer) -> None:
+        client = self._workers.pop(addr, None)
+        if client is None:
+            if len(self._workers) >= MAX_WORKER_CLIENTS:
+                self._workers.pop(next(iter(self._workers))).close()
+            client = HttpClient(self.loop, addr, max_lines=WORKER_LINES)
+        self._workers[addr] = client  # the ones used least lately come first
+        client.request(method, target, body, timeout, answer)
+
+    def mesh(self, peer: str, frame: bytes) -> None:
+        self.transport.send(peer, frame)
+
+
+def serve(settings: Settings, policy: Policy) -> None:
+    """Run a controller until the process is killed."""
+    runtime = Runtime(settings)
+    controller = Controller(runtime, settings, policy)
+    lease_s = settings.params.workers.lease_s
+    runtime.transport = MeshTransport(
+        runtime.loop, settings.mesh_addr, settings.peers, controller.mesh.on_frame, lease_s / 8
+    )
+    spare = STATE_LINES + CLOUD_LINES + MAX_WORKER_CLIENTS + 8 * max(1, len(settings.peers)) + 16
+    users = max(16, settings.params.limits.max_connections - spare)
+    HttpServer(
+        runtime.loop, settings.api_addr, controller.on_request, max_connections=users,
+        idle_s=max(60.0, 4 * lease_s),
+    )
+
+    def mend() -> None:
+        """A peer that says nothing any more may hang behind a cut: begin a new connection to it."""
+        now = runtime.now()
+        for peer in settings.peers:
+            if now - controller.mesh.heard.get(peer, -1e9) > lease_s / 4:
+                runtime.transport.reset(peer)
+        runtime.loop.later(lease_s / 8, mend)
+
+    mend()
+    controller.start()
+    log.info("%s serves users and workers at %s, controllers at %s",
+             settings.node, settings.api_addr, settings.mesh_addr)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20000, 20, 50)
+    runtime.loop.run()
--- /dev/null
+++ b/tealhook/settings/platform.py
@@ -0,0 +1,172 @@
+"""The settings file that the platform hands over (TOML), checked before anything starts."""
+
+from __future__ import annotations
+
+import math
+import re
+
+import msgspec
+
+
+class SettingsError(ValueError):
+    """One line: file, key, and what is expected."""
+
+
+class Known(msgspec.Struct):
+    node: str
+    endpoint: str
+    domain: str = ""
+
+
+class Services(msgspec.Struct):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct):
+    """A team; a guarantee or limit of 0 means none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct):
+    kind: str
+    class_: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class Workers(msgspec.Struct):
+    report_s: float
+    lease_s: float
+    cancel_s: float
+    gang_wait_s: float = 0.0
+    gang_peer_s: float = 0.0
+
+
+class State(msgspec.Struct):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class Cloud(msgspec.Struct):
+    rps: float
+    list_lag_s: float
+
+
+class Limits(msgspec.Struct):
+    core_share: float = 1.0
+    mem_mb: float = 256.0
+    max_connections: int = 512
+
+
+class Params(msgspec.Struct):
+    workers: Workers
+    state: State
+    cloud: Cloud
+    nodes: int = 1
+    zones: list[str] = []
+    skew_ms: float = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+class Settings(msgspec.Struct):
+    node: str
+    api_addr: str
+    mesh_addr: str
+    services: Services
+    params: Params
+    domain: str = ""
+    known: list[Known] = []
+
+    @property
+    def peers(self) -> dict[str, str]:
+        """Mesh address of every other controller by name."""
+        return {peer.node: peer.endpoint for peer in self.known if peer.node != self.node}
+
+    @property
+    def team_names(self) -> list[str]:
+        return [team.name for team in self.params.teams]
+
+
+_ADDR = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})\Z")
+_NAME = re.compile(r"[A-Za-z0-9_.-]{1,64}\Z")
+
+
+def _check_addr(path: str, key: str, value: str) -> None:
+    match = _ADDR.match(value)
+    if not match or any(int(part) > 255 for part in match.groups()[:4]) or not 0 < int(match[5]) < 65536:
+        raise SettingsError(f"{path}: {key}: expected IPv4 address and port such as '10.0.0.1:8080', got {value!r}")
+
+
+def _check_positive(path: str, group: str, struct: msgspec.Struct, names: tuple[str, ...]) -> None:
+    for name in names:
+        value = getattr(struct, name)
+        if not math.isfinite(value) or value <= 0:
+            raise SettingsError(f"{path}: {group}.{name}: expected a number above 0, got {value}")
+
+
+def _check(path: str, settings: Settings) -> None:
+    _check_addr(path, "api_addr", settings.api_addr)
+    _check_addr(path, "mesh_addr", settings.mesh_addr)
+    _check_addr(path, "services.cloud", settings.services.cloud)
+    _check_addr(path, "services.state", settings.services.state)
+    names = [("node", settings.node)]
+    names += [(f"known[{i}].node", peer.node) for i, peer in enumerate(settings.known)]
+    names += [(f"params.teams[{i}].name", team.name) for i, team in enumerate(settings.params.teams)]
+    names += [(f"params.zones[{i}]", zone) for i, zone in enumerate(settings.params.zones)]
+    for key, value in names:
+        if not _NAME.match(value):
+            raise SettingsError(f"{path}: {key}: expected 1 to 64 letters, digits, '_', '.' or '-', got {value!r}")
+    for i, peer in enumerate(settings.known):
+        _check_addr(path, f"known[{i}].endpoint", peer.endpoint)
+    params = settings.params
+    _check_positive(path, "params.workers", params.workers, ("report_s", "lease_s", "cancel_s"))
+    _check_positive(path, "params.state", params.state, ("rps", "write_rps", "value_kb", "txn_ops"))
+    _check_positive(path, "params.cloud", params.cloud, ("rps", "list_lag_s"))
+    _check_positive(path, "params.limits", params.limits, ("core_share", "mem_mb", "max_connections"))
+    if params.state.txn_ops < 2:
+        raise SettingsError(f"{path}: params.state.txn_ops: expected at least 2, got {params.state.txn_ops}")
+    if params.workers.cancel_s <= params.workers.lease_s:
+        raise SettingsError(f"{path}: params.workers.cancel_s: expected more than lease_s")
+    for i, team in enumerate(params.teams):
+        for name in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            value = getattr(team, name)
+            if not math.isfinite(value) or value < 0:
+                raise SettingsError(f"{path}: params.teams[{i}].{name}: expected a number, 0 or more, got {value}")
+    for kind, listed in (("teams", settings.team_names), ("zones", params.zones)):
+        if len(set(listed)) != len(listed):
+            raise SettingsError(f"{path}: params.{kind}: expected each name once")
+
+
+def parse_settings(path: str, text: str) -> Settings:
+    """Decode and check the text of a settings file named `path`."""
+    try:
+        settings = msgspec.toml.decode(text.encode(), type=Settings)
+    except msgspec.ValidationError as exc:
+        message, _, where = str(exc).partition(" - at `$")
+        key = where.rstrip("`").lstrip(".") or "(top)"
+        raise SettingsError(f"{path}: {key}: {message}") from None
+    except msgspec.DecodeError as exc:
+        raise SettingsError(f"{path}: not TOML: {exc}") from None
+    _check(path, settings)
+    return settings
+
+
+def load_settings(path: str) -> Settings:
+    """Read, decode and check a settings file; raises SettingsError with a one-line message."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: can't be read: {getattr(exc, 'strerror', None) or exc}") from None
+    return parse_settings(path, text)
--- /dev/null
+++ b/tealhook/settings/policy.py
@@ -0,0 +1,211 @@
+"""The policy: named expressions over documented variables, checked before anything starts.
+
+A policy file holds lines `name = expression`; `#` begins a comment. Expressions are parsed with the
+standard `ast` module in expression mode, checked against a whitelist, and compiled once.
+"""
+
+from __future__ import annotations
+
+import ast
+import math
+from collections.abc import Callable, Mapping
+
+MAX_FILE = 16 * 1024
+MAX_NODES = 200
+MAX_POWER = 8
+
+VARIABLES = {
+    "report_s": "seconds between two reports of a worker",
+    "lease_s": "seconds a worker keeps its tasks without an answered report",
+    "cancel_s": "seconds within which a cancelled job must be off its machines",
+    "boot_s": "seconds a new machine usually needs, the least over the types on offer",
+    "guaranteed": "CPUs guaranteed to all teams together",
+    "limit": "CPUs all teams together may use; 0: no limit",
+    "used": "CPUs taken by tasks now",
+    "demand": "CPUs taken by tasks or asked for by waiting ones",
+    "urgent": "the part of demand that is urgent or above, smoothed over several boots",
+    "peak": "highest demand within the last few boots",
+    "mean": "demand smoothed over several boots",
+    "machine": "CPUs of the largest type on offer",
+}
+FUNCTIONS: dict[str, Callable[..., float]] = {
+    "min": min,
+    "max": max,
+    "abs": abs,
+    "floor": math.floor,
+    "ceil": math.ceil,
+    "sqrt": math.sqrt,
+}
+# name: (what it sets, default, lowest, highest)
+RULES: dict[str, tuple[str, str, float, float]] = {
+    "ready_cpus": (
+        "CPUs that the fleet keeps up, taken or not",
+        "max(limit if guaranteed > 0 else 0, 1.1 * mean + 0.6 * urgent + 2 * machine)",
+        0.0,
+        1e9,
+    ),
+    "idle_return_s": ("seconds a machine beyond that may idle before it is returned", "boot_s", 0.0, 1e6),
+    "spot_share": ("largest share of the fleet's CPUs that may be spot machines", "1", 0.0, 1.0),
+    "hold_age_s": ("seconds of waiting after which a task holds room on its best part", "2 * lease_s", 0.0, 1e6),
+    "fence_s": ("seconds of silence after which a machine is released to be certain", "lease_s", 0.0, 1e6),
+    "feedback": ("the paper's alpha: weight of an actual finish in the feedback factor", "0.8", 0.0, 1.0),
+}
+DEFAULT_POLICY = "".join(f"# {text}\n{name} = {default}\n\n" for name, (text, default, _, _) in RULES.items())
+
+_BINARY = (ast.Add, ast.Sub, ast.Mult, ast.Div, ast.FloorDiv, ast.Mod, ast.Pow)
+_COMPARE = (ast.Lt, ast.LtE, ast.Gt, ast.GtE, ast.Eq, ast.NotEq)
+
+
+class PolicyError(ValueError):
+    """One line: file, line, column, and what is wrong."""
+
+
+class _Checker:
+    """Walks an expression and finds its type: 'number' or 'truth'."""
+
+    def __init__(self, fail: Callable[[ast.AST, str], PolicyError]) -> None:
+        self._fail = fail
+
+    def number(self, node: ast.AST) -> None:
+        if self.kind(node) != "number":
+            raise self._fail(node, "expected a number, got a comparison")
+
+    def truth(self, node: ast.AST) -> None:
+        if self.kind(node) != "truth":
+            raise self._fail(node, "expected a comparison, got a number")
+
+    def kind(self, node: ast.AST) -> str:
+        match node:
+            case ast.Constant(value=value) if type(value) in (int, float) and math.isfinite(value):
+                return "number"
+            case ast.Name(id=name):
+                if name not in VARIABLES:
+                    raise self._fail(node, f"unknown name '{name}'; known: {', '.join(VARIABLES)}")
+                return "number"
+            case ast.BinOp(left=left, op=op, right=right) if isinstance(op, _BINARY):
+                self.number(left)
+                self.number(right)
+                if isinstance(op, ast.Pow) and not (
+                    isinstance(right, ast.Constant) and 0 <= right.value <= MAX_POWER
+                ):
+                    raise self._fail(right, f"expected a constant power between 0 and {MAX_POWER}")
+                return "number"
+            case ast.UnaryOp(op=ast.USub() | ast.UAdd(), operand=operand):
+                self.number(operand)
+                return "number"
+            case ast.UnaryOp(op=ast.Not(), operand=operand):
+                self.truth(operand)
+                return "truth"
+            case ast.BoolOp(values=values):
+                for value in values:
+                    self.truth(value)
+                return "truth"
+            case ast.Compare(left=left, ops=ops, comparators=comparators) if all(
+                isinstance(op, _COMPARE) for op in ops
+            ):
+                self.number(left)
+                for value in comparators:
+                    self.number(value)
+                return "truth"
+            case ast.IfExp(test=test, body=body, orelse=orelse):
+                self.truth(test)
+                self.number(body)
+                self.number(orelse)
+                return "number"
+            case ast.Call(func=ast.Name(id=name), args=args, keywords=[]) if name in FUNCTIONS:
+                few = 2 if name in ("min", "max") else 1
+                if len(args) < few or (few == 1 and len(args) > 1):
+                    raise self._fail(node, f"wrong number of arguments for '{name}'")
+                for value in args:
+                    self.number(value)
+                return "number"
+            case ast.Call(func=ast.Name(id=name)):
+                raise self._fail(node, f"unknown function '{name}'; known: {', '.join(FUNCTIONS)}")
+        raise self._fail(node, "not allowed in a policy expression")
+
+
+class Policy:
+    """Checked expressions; `value` evaluates one and keeps it within its range."""
+
+    def __init__(self, codes: Mapping[str, object]) -> None:
+        self._codes = dict(codes)
+
+    def value(self, name: str, variables: Mapping[str, float]) -> float:
+        """The rule's value; a failing evaluation (division by zero) gives its default's value or lowest."""
+        _, _, lowest, highest = RULES[name]
+        scope = dict.fromkeys(VARIABLES, 0.0) | dict(variables)
+        try:
+            # The code was compiled from a checked tree: no attributes, no calls but FUNCTIONS.
+            result = float(eval(self._codes[name], {"__builtins__": {}, **FUNCTIONS}, scope))  # noqa: S307
+        except (ArithmeticError, ValueError, TypeError):
+            return lowest
+        if not math.isfinite(result):
+            return lowest
+        return min(highest, max(lowest, result))
+
+
+def _compile(path: str, line: int, column: int, name: str, text: str) -> object:
+    def fail(node: ast.AST, why: str) -> PolicyError:
+        return PolicyError(f"{path}:{line}:{column + getattr(node, 'col_offset', 0)}: {name}: {why}")
+
+    try:
+        tree = ast.parse(text, mode="eval")
+    except (SyntaxError, ValueError, RecursionError, MemoryError) as exc:
+        offset = (getattr(exc, "offset", None) or 1) - 1
+        raise PolicyError(f"{path}:{line}:{column + offset}: {name}: not an expression") from None
+    if sum(1 for _ in ast.walk(tree)) > MAX_NODES:
+        raise fail(tree.body, "too long")
+    _Checker(fail).number(tree.body)
+    return compile(tree, path, "eval")
+
+
+def parse_policy(path: str, text: str) -> Policy:
+    """Check a policy's text; rules that it does not name keep their defaults."""
+    if len(text) > MAX_FILE:
+        raise PolicyError(f"{path}:1:1: expected at most {MAX_FILE} characters")
+    codes = {name: _compile("default", 1, 1, name, rule[1]) for name, rule in RULES.items()}
+    seen: set[str] = set()
+    for number, line in enumerate(text.splitlines(), 1):
+        line = line.split("#", 1)[0]
+        if not line.strip():
+            continue
+        name, equals, expression = line.partition("=")
+        column = len(name) - len(name.lstrip()) + 1
+        name = name.strip()
+        if not equals:
+            raise PolicyError(f"{path}:{number}:{column}: expected 'name = expression'")
+        if name not in RULES:
+            raise PolicyError(f"{path}:{number}:{column}: unknown rule '{name}'; known: {', '.join(RULES)}")
+        if name in seen:
+            raise PolicyError(f"{path}:{number}:{column}: rule '{name}' is set twice")
+        seen.add(name)
+        start = line.index("=") + 1
+        start += len(expression) - len(expression.lstrip())
+        codes[name] = _compile(path, number, start + 1, name, expression.strip())
+        _check_constant(path, number, start + 1, name, codes[name], expression)
+    return Policy(codes)
+
+
+def _check_constant(path: str, line: int, column: int, name: str, code: object, text: str) -> None:
+    """A rule without variables is checked against its range at once."""
+    if any(isinstance(node, ast.Name) and node.id in VARIABLES for node in ast.walk(ast.parse(text.strip()))):
+        return
+    _, _, lowest, highest = RULES[name]
+    try:
+        value = float(eval(code, {"__builtins__": {}, **FUNCTIONS}, {}))  # noqa: S307 - checked above
+    except ArithmeticError as exc:
+        raise PolicyError(f"{path}:{line}:{column}: {name}: {exc}") from None
+    if not lowest <= value <= highest:
+        raise PolicyError(f"{path}:{line}:{column}: {name}: expected {lowest:g} to {highest:g}, got {value:g}")
+
+
+def load_policy(path: str | None) -> Policy:
+    """The policy of a file, or the defaults; raises PolicyError with a one-line message."""
+    if path is None:
+        return parse_policy("default", "")
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read(MAX_FILE + 1)
+    except (OSError, UnicodeDecodeError) as exc:
+        raise PolicyError(f"{path}: can't be read: {getattr(exc, 'strerror', None) or exc}") from None
+    return parse_policy(path, text)
--- /dev/null
+++ b/tealhook/store/__init__.py
@@ -0,0 +1,7 @@
+"""The state service: client with token buckets, watches, grants and ownership."""
+
+from tealhook.store.client import Outcome, Priority, StateClient
+from tealhook.store.ownership import FLEET, Ownership, home_key, part_key
+from tealhook.store.watcher import Watcher
+
+__all__ = ["FLEET", "Outcome", "Ownership", "Priority", "StateClient", "Watcher", "home_key", "part_key"]
--- /dev/null
+++ b/tealhook/store/client.py
@@ -0,0 +1,275 @@
+"""Calls to the state service, in the order of their worth, within its budgets."""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from tealhook.loop import TokenBucket
+from tealhook.loop.effects import Effects
+from tealhook.settings import Settings
+from tealhook.wire import state as wire
+from tealhook.wire.common import dumps
+
+log = logging.getLogger("tealhook.store")
+
+USED_SHARE = 0.92  # of the budget; the rest allows for other nodes' unevenness and for clock drift
+CALL_TIMEOUT_S = 2.0
+
+
+class Priority(enum.IntEnum):
+    """Who goes first when tokens are short."""
+
+    RENEW = 0
+    ADMIT = 1
+    ASSIGN = 2
+    KEEP = 3
+
+
+# Share of the buckets that a priority leaves to those before it.
+RESERVED = {Priority.RENEW: 0.0, Priority.ADMIT: 0.1, Priority.ASSIGN: 0.25, Priority.KEEP: 0.45}
+
+
+class Outcome(enum.Enum):
+    OK = "ok"
+    CONFLICT = "conflict"
+    REFUSED = "refused"  # certainly not executed
+    UNSURE = "unsure"  # may have been executed, or may yet be
+
+
+class _Call:
+    __slots__ = ("method", "target", "body", "writes", "deadline", "answer", "timeout")
+
+    def __init__(self, method, target, body, writes, deadline, timeout, answer) -> None:
+        self.method = method
+        self.target = target
+        self.body = body
+        self.writes = writes
+        self.deadline = deadline
+        self.timeout = timeout
+        self.answer = answer
+
+
+class StateClient:
+    """One node's calls to the state service."""
+
+    def __init__(self, effects: Effects, settings: Settings) -> None:
+        self._fx = effects
+        limits = settings.params.state
+        self._rps, self._wps = limits.rps, limits.write_rps
+        self.txn_ops = limits.txn_ops
+        self.value_bytes = int(limits.value_kb * 1024)
+        now = effects.now()
+        self._requests = TokenBucket(1.0, 1.0, now)
+        self._writes = TokenBucket(1.0, 1.0, now)
+        self._queues: dict[Priority, deque[_Call]] = {priority: deque() for priority in Priority}
+        self._pumping = False
+        self.answered_at = -1e9  # when it last served us
+        self.failed_at = -1e9
+        self.share(max(1, settings.params.nodes))
+
+    def share(self, nodes: int) -> None:
+        """Set this node's part of the budgets: it has `nodes` live nodes to share them with."""
+        now = self._fx.now()
+        rps, wps = self._rps * USED_SHARE / nodes, self._wps * USED_SHARE / nodes
+        self._requests.set_rate(rps, rps, now)
+        self._writes.set_rate(wps, wps, now)
+
+    @property
+    def served(self) -> bool:
+        """Whether the last word from the state service was an answer."""
+        return self.answered_at > self.failed_at
+
+    def write_room(self, priority: Priority) -> int:
+        """Changes that could be sent at once at this priority."""
+        if self._queues[priority]:
+            return 0
+        return int(self._writes.level(self._fx.now()) - RESERVED[priority] * self._writes.burst)
+
+    def write_wait(self, count: int, priority: Priority) -> float:
+        return self._writes.wait(count, self._fx.now(), RESERVED[priority] * self._writes.burst)
+
+    def backlog(self, priority: Priority) -> float:
+        """Seconds that a change asked for now would wait for tokens."""
+        queued = sum(call.writes for level in Priority if level <= priority for call in self._queues[level])
+        return self.write_wait(queued + 1, priority)
+
+    # -- the queue
+
+    def _submit(self, priority, method, target, body, writes, wait, timeout, answer) -> None:
+        call = _Call(method, target, body, writes, self._fx.now() + wait, timeout, answer)
+        self._queues[priority].append(call)
+        if not self._pumping:
+            self._pump()
+
+    def _pump(self) -> None:
+        self._pumping = False
+        now = self._fx.now()
+        pause = None
+        for priority in Priority:
+            queue = self._queues[priority]
+            while queue:
+                call = queue[0]
+                if call.deadline < now:
+                    queue.popleft()
+                    self._fx.later(0.0, lambda call=call: call.answer(429, b""))
+                    continue
+                keep_r = RESERVED[priority] * self._requests.burst
+                keep_w = RESERVED[priority] * self._writes.burst if call.writes else 0.0
+                wait = self._requests.wait(1, now, keep_r)
+                if call.writes:
+                    wait = max(wait, self._writes.wait(call.writes, now, keep_w))
+                if wait > 0:
+                    pause = wait if pause is None else min(pause, wait)
+                    break
+                self._requests.take(1, now, keep_r)
+                if call.writes:
+                    self._writes.take(call.writes, now, keep_w)
+                queue.popleft()
+                self._send(call)
+        if pause is not None:
+            self._pumping = True
+            self._fx.later(min(max(pause, 0.002), 0.25), self._pump)
+
+    def _send(self, call: _Call) -> None:
+        def answer(status: int | None, body: bytes) -> None:
+            now = self._fx.now()
+            if status is None or status == 503:
+                self.failed_at = now
+            else:
+                self.answered_at = now
+            if status == 429:
+                self._requests.drain(now)
+                self._writes.drain(now)
+                log.info("state service: over budget")
+            call.answer(status, body)
+
+        self._fx.state(call.method, call.target, call.body, call.timeout, answer)
+
+    # -- reads
+
+    def get(
+        self, key: str, done: Callable[[str, wire.Row | None], Any], priority: Priority = Priority.ADMIT,
+        wait: float = 1.0, timeout: float = CALL_TIMEOUT_S,
+    ) -> None:
+        """`done("ok", row)`, `done("absent", None)` or `done("unknown", None)`."""
+
+        def answer(status: int | None, body: bytes) -> None:
+            try:
+                if status == 200:
+                    done("ok", wire.row_decoder.decode(body))
+                    return
+                if status == 404:
+                    wire.absent_decoder.decode(body)
+                    done("absent", None)
+                    return
+            except msgspec.DecodeError as exc:
+                log.error("state service: bad answer to a read: %s", exc)
+            done("unknown", None)
+
+        self._submit(priority, "GET", "/store/" + quote(key, safe="/"), None, 0, wait, timeout, answer)
+
+    def list(self, prefix: str, done: Callable[[list[wire.Row] | None, int], Any], page: int = 500) -> None:
+        """All rows below a prefix with the epoch of the first page, or (None, 0)."""
+        rows: list[wire.Row] = []
+        first: list[int] = []
+
+        def answer(status: int | None, body: bytes) -> None:
+            if status != 200:
+                done(None, 0)
+                return
+            try:
+                part = wire.rows_decoder.decode(body)
+            except msgspec.DecodeError as exc:
+                log.error("state service: bad answer to a list: %s", exc)
+                done(None, 0)
+                return
+            rows.extend(part.rows)
+            first.append(part.epoch)
+            if part.more and part.rows:
+                ask(part.rows[-1].path)
+            else:
+                done(rows, first[0])
+
+        def ask(after: str) -> None:
+            target = f"/store?starts={quote(prefix, safe='/')}&page={page}"
+            if after:
+                target += f"&after={quote(after, safe='/')}"
+            self._submit(Priority.ASSIGN, "GET", target, None, 0, 5.0, 2 * CALL_TIMEOUT_S, answer)
+
+        ask("")
+
+    def watch(self, prefix: str, after: int, wait_s: float, done: Callable[[str, wire.Watched | None], Any]) -> None:
+        """`done("ok", watched)`, `done("old", None)` or `done("unknown", None)`."""
+
+        def answer(status: int | None, body: bytes) -> None:
+            if status == 200:
+                try:
+                    done("ok", wire.watched_decoder.decode(body))
+                    return
+                except msgspec.DecodeError as exc:
+                    log.error("state service: bad answer to a watch: %s", exc)
+            done("old" if status == 410 else "unknown", None)
+
+        target = f"/watch?starts={quote(prefix, safe='/')}&after={after}&wait_ms={int(wait_s * 1000)}"
+        self._submit(Priority.ADMIT, "GET", target, None, 0, 5.0, wait_s + CALL_TIMEOUT_S, answer)
+
+    # -- changes
+
+    def txn(
+        self, when: dict[str, int], apply: list[dict], priority: Priority,
+        done: Callable[[Outcome, int, list[str]], Any], wait: float = 1.0, timeout: float = CALL_TIMEOUT_S,
+    ) -> None:
+        """`done(outcome, epoch, failed keys)`."""
+
+        def answer(status: int | None, body: bytes) -> None:
+            try:
+                if status == 200:
+                    done(Outcome.OK, wire.committed_decoder.decode(body).epoch, [])
+                    return
+                if status == 409:
+                    done(Outcome.CONFLICT, 0, wire.conflict_decoder.decode(body).failed)
+                    return
+            except msgspec.DecodeError as exc:
+                log.error("state service: bad answer to a transaction: %s", exc)
+                done(Outcome.UNSURE, 0, [])
+                return
+            if status == 400:
+                log.error("state service: transaction refused: %s", body[:200])
+            # 503 and 429 say that it was not executed; silence and anything unknown say nothing.
+            done(Outcome.REFUSED if status in (400, 429, 503) else Outcome.UNSURE, 0, [])
+
+        body = dumps({"when": [{"path": key, "stamp": stamp} for key, stamp in when.items()], "apply": apply})
+        self._submit(priority, "POST", "/txn", body, max(1, len(apply)), wait, timeout, answer)
+
+    # -- grants
+
+    def grant(self, ttl_s: float, done: Callable[[int | None], Any]) -> None:
+        def answer(status: int | None, body: bytes) -> None:
+            try:
+                done(wire.granted_decoder.decode(body).hold if status == 200 else None)
+            except msgspec.DecodeError:
+                done(None)
+
+        body = dumps({"ttl_ms": int(ttl_s * 1000)})
+        self._submit(Priority.RENEW, "POST", "/grants", body, 0, 1.0, CALL_TIMEOUT_S, answer)
+
+    def renew(self, hold: int, timeout: float, done: Callable[[str], Any]) -> None:
+        """`done("ok")`, `done("ended")` or `done("unknown")`."""
+
+        def answer(status: int | None, _body: bytes) -> None:
+            done("ok" if status == 200 else "ended" if status == 404 else "unknown")
+
+        self._submit(Priority.RENEW, "POST", f"/grants/{hold}/renew", b"{}", 0, 0.5, timeout, answer)
+
+    def end_grant(self, hold: int, done: Callable[[bool], Any]) -> None:
+        def answer(status: int | None, _body: bytes) -> None:
+            done(status in (200, 204, 404))
+
+        self._submit(Priority.RENEW, "DELETE", f"/grants/{hold}", None, 0, 1.0, CALL_TIMEOUT_S, answer)
--- /dev/null
+++ b/tealhook/store/ownership.py
@@ -0,0 +1,299 @@
+"""Who owns what: one grant a node, and keys claimed under it.
+
+The stamp of an ownership key at its claim is the owner's fencing token. Nothing here decides that a node
+is dead: only the end of its grant at the state service does.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from tealhook.loop.effects import Effects, every
+from tealhook.settings import Settings
+from tealhook.store.client import Outcome, Priority, StateClient
+from tealhook.store.watcher import Watcher
+from tealhook.wire import state as wire
+
+log = logging.getLogger("tealhook.store")
+
+OWN = "own/"
+NODE = "own/node/"
+PART = "own/part/"
+HOME = "own/home/"
+FLEET = "own/fleet"
+
+
+def part_key(zone: str) -> str:
+    return PART + zone
+
+
+def home_key(team: str) -> str:
+    return HOME + team
+
+
+def _weight(key: str, node: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{node}".encode(), digest_size=8).digest()
+
+
+def share_out(keys: Iterable[str], nodes: dict[str, str]) -> dict[str, str]:
+    """Rendezvous hashing with a fair share of each kind; a part prefers nodes of its own zone.
+
+    `nodes` maps live nodes to their zones. Every node with the same view comes to the same result.
+    """
+    plan: dict[str, str] = {}
+    if not nodes:
+        return plan
+    kinds: dict[str, list[str]] = {}
+    for key in sorted(keys):
+        kinds.setdefault(key.rsplit("/", 1)[0] if key != FLEET else FLEET, []).append(key)
+    held = dict.fromkeys(nodes, 0)
+    for kind in sorted(kinds):
+        most = -(-len(kinds[kind]) // len(nodes))
+        load = dict.fromkeys(nodes, 0)
+
+        def rank(node: str, key: str) -> tuple:
+            near = key.startswith(PART) and nodes[node] == key[len(PART):]
+            return (not near, held[node] if key == FLEET else 0, _weight(key, node))
+
+        for key in sorted(kinds[kind], key=lambda k: min(rank(n, k)[0] for n in nodes)):
+            free = [node for node in nodes if load[node] < most]
+            best = min(free, key=lambda node: rank(node, key))
+            plan[key] = best
+            load[best] += 1
+            held[best] += 1
+    return plan
+
+
+class _Owned:
+    __slots__ = ("node", "boot", "stamp", "domain")
+
+    def __init__(self, row_value: Any, stamp: int) -> None:
+        value = row_value if isinstance(row_value, dict) else {}
+        self.node = str(value.get("n", ""))
+        self.boot = str(value.get("b", ""))
+        self.domain = str(value.get("z", ""))
+        self.stamp = stamp
+
+
+class Ownership:
+    """This node's grant, its claims, and the view of everybody's."""
+
+    def __init__(self, effects: Effects, settings: Settings, store: StateClient) -> None:
+        self._fx = effects
+        self._store = store
+        self.node = settings.node
+        self._domain = settings.domain
+        self.ttl_s = settings.params.workers.lease_s / 3
+        self._boot = f"{effects.rng.getrandbits(64):016x}"
+        self._hold: int | None = None
+        self._renewed_at = 0.0
+        self._registered = False
+        self._busy = False
+        self._rows: dict[str, _Owned] = {}
+        self._dropped: dict[str, int] = {}
+        self._absent_since: dict[str, float] = {}
+        self._changed_at = effects.now()  # when the set of live nodes last changed
+        self._gave_up_at = -1e9
+        self._wanted: set[str] = {FLEET}
+        self._wanted.update(home_key(name) for name in settings.team_names)
+        self._wanted.update(part_key(zone) for zone in settings.params.zones)
+        self._held: dict[str, int] = {}  # what the listener was told that we own
+        self.listener: Callable[[str, int | None], Any] = lambda key, token: None
+        self.may_give_up: Callable[[str], bool] = lambda key: True
+        self.watcher = Watcher(
+            effects, store, OWN, settings.params.workers.lease_s / 12, self._on_rows, self._on_events
+        )
+
+    def start(self) -> None:
+        """End what an earlier process of this name held, then register."""
+        self._store.get(NODE + self.node, self._on_former, Priority.RENEW)
+
+    def add(self, key: str) -> None:
+        """A key that somebody should own."""
+        self._wanted.add(key)
+
+    # -- the view
+
+    def owner(self, key: str) -> str | None:
+        """The node that owns a key as far as known."""
+        owned = self._rows.get(key)
+        return owned.node if owned else None
+
+    def token(self, key: str) -> int | None:
+        """The owner's fencing token as far as known, whoever the owner is."""
+        owned = self._rows.get(key)
+        return owned.stamp if owned else None
+
+    def mine(self, key: str) -> int | None:
+        """Our fencing token for a key that we own."""
+        return self._held.get(key)
+
+    def live(self) -> dict[str, str]:
+        """Registered nodes and their zones."""
+        return {key[len(NODE):]: row.domain for key, row in self._rows.items() if key.startswith(NODE)}
+
+    def zones(self) -> list[str]:
+        """Every zone that has, or should have, a part."""
+        keys = self._wanted | self._rows.keys()
+        return sorted(key[len(PART):] for key in keys if key.startswith(PART))
+
+    @property
+    def settled(self) -> bool:
+        return self._fx.now() - self._changed_at > 2 * self.ttl_s and self._registered
+
+    def _on_rows(self, rows: list[wire.Row]) -> None:
+        self._rows = {row.path: _Owned(row.v, row.stamp) for row in rows}
+        self._after_change()
+
+    def _on_events(self, events: list[wire.Event]) -> None:
+        before = self.live()
+        for event in events:
+            key = event.write or event.drop
+            known = self._rows.get(key)
+            if known is not None and event.stamp < known.stamp:
+                continue
+            if event.write:
+                self._rows[key] = _Owned(event.v, event.stamp)
+            else:
+                self._rows.pop(key, None)
+        if self.live() != before:
+            self._changed_at = self._fx.now()
+        self._after_change()
+
+    def _after_change(self) -> None:
+        held = {
+            key: row.stamp for key, row in self._rows.items()
+            if row.node == self.node and row.boot == self._boot and not key.startswith(NODE)
+        }
+        for key, token in list(self._held.items()):
+            if held.get(key) != token:
+                del self._held[key]
+                log.info("no longer owner of %s", key)
+                self.listener(key, None)
+        for key, token in held.items():
+            if key not in self._held:
+                self._held[key] = token
+                log.info("owner of %s with token %d", key, token)
+                self.listener(key, token)
+        mine = self._rows.get(NODE + self.node)
+        self._registered = mine is not None and mine.boot == self._boot
+        self._store.share(max(1, len(self.live())))
+        now = self._fx.now()
+        for key in self._wanted | set(self._rows):
+            if key in self._rows:
+                self._absent_since.pop(key, None)
+            else:
+                self._absent_since.setdefault(key, now)
+        self._fx.later(0.0, self._claim)
+
+    # -- the grant
+
+    def _on_former(self, kind: str, row: wire.Row | None) -> None:
+        if kind == "unknown":
+            self._fx.later(0.1 + 0.2 * self._fx.rng.random(), self.start)
+            return
+        if row is not None and row.hold is not None:
+            # Only one process runs under a name, so what the former one held can be ended at once.
+            self._store.end_grant(row.hold, lambda ended: self._begin() if ended else self.start())
+        else:
+            self._begin()
+
+    def _begin(self) -> None:
+        self.watcher.start()
+        self._new_grant()
+        every(self._fx, self.ttl_s / 6, self._claim)
+
+    def _new_grant(self) -> None:
+        sent = self._fx.now()
+
+        def done(hold: int | None) -> None:
+            if hold is None:
+                self._fx.later(0.1 + 0.3 * self._fx.rng.random(), self._new_grant)
+                return
+            self._hold = hold
+            self._renewed_at = sent
+            self._claim()
+            self._fx.later(self.ttl_s / 3, self._renew)
+
+        self._store.grant(self.ttl_s, done)
+
+    def _renew(self) -> None:
+        hold = self._hold
+        sent = self._fx.now()
+
+        def done(kind: str) -> None:
+            if kind == "ended":
+                log.info("grant %s ended", hold)
+                self._hold = None
+                self._new_grant()
+                return
+            if kind == "ok":
+                self._renewed_at = sent
+                self._fx.later(self.ttl_s / 3, self._renew)
+            else:
+                self._fx.later(self.ttl_s / 12, self._renew)
+
+        self._store.renew(hold, self.ttl_s / 3, done)
+
+    # -- claims
+
+    def _claim(self) -> None:
+        if self._hold is None or self._busy or not self.watcher.synced:
+            return
+        if not self._registered:
+            if NODE + self.node not in self._rows:
+                self._write([NODE + self.node])
+            return
+        live = self.live()
+        plan = share_out(self._wanted | {k for k in self._rows if not k.startswith(NODE)}, live)
+        now = self._fx.now()
+        claims = []
+        for key, node in plan.items():
+            if key in self._rows:
+                continue
+            # Another's turn: only when it leaves the key lying for longer than its grant would have lasted.
+            if node == self.node or now - self._absent_since.get(key, now) > self.ttl_s:
+                claims.append(key)
+        if claims:
+            self._write(claims[: max(1, min(self._store.txn_ops - 1, 8))])
+            return
+        self._give_up(plan, now)
+
+    def _write(self, keys: list[str]) -> None:
+        self._busy = True
+        value = {"n": self.node, "b": self._boot, "z": self._domain}
+        when = dict.fromkeys(keys, 0)
+        mine = self._rows.get(NODE + self.node)
+        if NODE + self.node not in when and mine is not None:
+            when[NODE + self.node] = mine.stamp
+        hold = self._hold
+
+        def done(outcome: Outcome, epoch: int, failed: list[str]) -> None:
+            self._busy = False
+            if outcome is Outcome.OK:
+                for key in keys:
+                    known = self._rows.get(key)
+                    if known is None or known.stamp < epoch:
+                        self._rows[key] = _Owned(value, epoch)
+                self._after_change()
+            elif outcome is Outcome.CONFLICT:
+                rest = [key for key in keys if key not in failed]
+                if rest and len(rest) < len(keys):
+                    self._write(rest)
+            # Otherwise the watch shows what became of it.
+
+        self._store.txn(when, [wire.put(key, value, hold) for key in keys], Priority.RENEW, done)
+
+    def _give_up(self, plan: dict[str, str], now: float) -> None:
+        """Hand one key to a returned node, calmly: it must have stood for a while, and so must we."""
+        if not self.settled or now - self._gave_up_at < self.ttl_s / 2:
+            return
+        for key, token in list(self._held.items()):
+            if plan.get(key, self.node) != self.node and self.may_give_up(key):
+                self._gave_up_at = now
+                log.info("giving up %s to %s", key, plan[key])
+                self._store.txn({key: token}, [wire.drop(key)], Priority.KEEP, lambda outcome, epoch, failed: None)
+                return
--- /dev/null
+++ b/tealhook/store/watcher.py
@@ -0,0 +1,83 @@
+"""A complete, current view of the keys below a prefix."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from tealhook.loop.effects import Effects
+from tealhook.store.client import StateClient
+from tealhook.wire import state as wire
+
+RETRY_S = 0.25
+MAX_RETRY_S = 1.0
+
+
+class Watcher:
+    """Lists once, then follows changes; lists anew when it fell too far behind.
+
+    `on_rows(rows)` gives the whole state, `on_events(events)` what came after. `viewed_at` is when the
+    request was sent whose answer last showed everything: the view is at least as new as that.
+    """
+
+    def __init__(
+        self, effects: Effects, store: StateClient, prefix: str, wait_s: float,
+        on_rows: Callable[[list[wire.Row]], Any], on_events: Callable[[list[wire.Event]], Any],
+    ) -> None:
+        self._fx = effects
+        self._store = store
+        self._prefix = prefix
+        self._wait_s = wait_s
+        self._on_rows = on_rows
+        self._on_events = on_events
+        self._epoch = 0
+        self._failures = 0
+        self.viewed_at = -1e9
+        self.synced = False
+
+    def start(self) -> None:
+        self._list()
+
+    def age(self) -> float:
+        """Seconds since the view was certainly complete."""
+        return self._fx.now() - self.viewed_at
+
+    def _retry(self, call: Callable[[], Any]) -> None:
+        self._failures += 1
+        pause = min(MAX_RETRY_S, RETRY_S * self._failures)
+        self._fx.later(pause * (0.5 + self._fx.rng.random()), call)
+
+    def _list(self) -> None:
+        sent = self._fx.now()
+
+        def done(rows: list[wire.Row] | None, epoch: int) -> None:
+            if rows is None:
+                self._retry(self._list)
+                return
+            self._failures = 0
+            self._epoch = epoch
+            self.viewed_at = sent
+            self.synced = True
+            self._on_rows(rows)
+            self._watch()
+
+        self._store.list(self._prefix, done)
+
+    def _watch(self) -> None:
+        sent = self._fx.now()
+
+        def done(kind: str, watched: wire.Watched | None) -> None:
+            if kind == "old":
+                self._list()
+                return
+            if watched is None:
+                self._retry(self._watch)
+                return
+            self._failures = 0
+            self._epoch = max(self._epoch, watched.epoch)
+            self.viewed_at = sent
+            if watched.events:
+                self._on_events(watched.events)
+            self._watch()
+
+        self._store.watch(self._prefix, self._epoch, self._wait_s, done)
--- /dev/null
+++ b/tealhook/wire/common.py
@@ -0,0 +1,27 @@
+"""Encoding helpers shared by every wire format."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+_encoder = msgspec.json.Encoder()
+_raw_decoder = msgspec.json.Decoder()
+
+DecodeError = msgspec.DecodeError
+
+
+def dumps(value: Any) -> bytes:
+    """Encode `value` as one line of JSON."""
+    return _encoder.encode(value)
+
+
+def loads(data: bytes) -> Any:
+    """Decode JSON into plain Python values; raises DecodeError."""
+    return _raw_decoder.decode(data)
+
+
+def error_body(text: str) -> bytes:
+    """The JSON body that goes with an error status."""
+    return _encoder.encode({"error": text})
--- /dev/null
+++ b/tealhook/wire/mesh.py
@@ -0,0 +1,257 @@
+"""Controllers <-> controllers. Every message is a tagged Struct in MessagePack."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Shape(msgspec.Struct, array_like=True, frozen=True):
+    """What tasks of one group need of a machine; the unit of inquiries."""
+
+    vcpus: float
+    cards: float
+    memory_gb: float
+    image: str
+    image_gb: float
+    loaners: bool
+    rigs: tuple[str, ...]
+    urgency: int
+    run_s: float
+
+
+class Room(msgspec.Struct, array_like=True):
+    """A part's answer about one shape: free slots now, and when the next one frees."""
+
+    cached: int
+    uncached: int
+    next_s: float
+    rate: float
+
+
+class Ask(msgspec.Struct, tag="ask"):
+    """Inquiry for a part's earliest free time."""
+
+    zone: str
+    shapes: list[Shape]
+
+
+class AskReply(msgspec.Struct, tag="ask_r"):
+    token: int
+    rooms: list[Room]
+
+
+class Want(msgspec.Struct, array_like=True):
+    """`count` tasks of one job and shape to be given room at once."""
+
+    job: str
+    team: str
+    shape: Shape
+    count: int
+    secured: bool
+    aged: bool
+    avoid: list[str]
+    home_token: int
+
+
+class Reserve(msgspec.Struct, tag="reserve"):
+    zone: str
+    wants: list[Want]
+
+
+class Slot(msgspec.Struct, array_like=True):
+    """Room held on a machine until it is used or expires."""
+
+    rid: int
+    machine: str
+    shift: int
+    fetch_s: float
+
+
+class ReserveReply(msgspec.Struct, tag="reserve_r"):
+    token: int
+    slots: list[list[Slot]]
+
+
+class Start(msgspec.Struct, array_like=True):
+    """Use of a reservation, after the assignment is durable."""
+
+    rid: int
+    job: str
+    index: int
+    attempt: int
+
+
+class Launch(msgspec.Struct, tag="launch"):
+    zone: str
+    token: int
+    team: str
+    home_token: int
+    starts: list[Start]
+
+
+class LaunchReply(msgspec.Struct, tag="launch_r"):
+    """`seq`: news with a higher number under this token knows of the launches taken."""
+
+    token: int
+    seq: int
+    refused: list[int]
+
+
+class Seen(msgspec.Struct, array_like=True):
+    """A task on a machine; status `launching` while its launch is not resolved."""
+
+    job: str
+    index: int
+    attempt: int
+    status: str
+    cause: str | None = None
+
+
+class MachineNews(msgspec.Struct, tag="news"):
+    """All tasks of one team on one machine, as of (shift, tick).
+
+    `seq` numbers what a part's owner says under one token: two connections may carry it out of order.
+    """
+
+    zone: str
+    team: str
+    token: int
+    seq: int
+    machine: str
+    shift: int
+    tick: int
+    seen: list[Seen]
+
+
+class Look(msgspec.Struct, tag="look"):
+    """A home asks for news of machines; its token ends launches by earlier homes."""
+
+    zone: str
+    team: str
+    home_token: int
+    machines: list[str]
+
+
+class LookReply(msgspec.Struct, tag="look_r"):
+    """`silent`: seconds since each machine was heard of; -1: never under this token."""
+
+    token: int
+    seq: int
+    silent: list[float]
+    owned_s: float
+
+
+class Stop(msgspec.Struct, tag="stop"):
+    """Kill or clear attempts: [machine, job, index, attempt, wind_down]; wind_down < 0 clears."""
+
+    zone: str
+    team: str
+    home_token: int
+    items: list[tuple[str, str, int, int, float]]
+
+
+class Fence(msgspec.Struct, tag="fence"):
+    """Ask the fleet to release machines, so that what was on them is provably gone."""
+
+    machines: list[str]
+
+
+class Gone(msgspec.Struct, tag="gone"):
+    """These machines are gone with all that was on them."""
+
+    machines: list[str]
+
+
+class Demand(msgspec.Struct, array_like=True):
+    """Waiting tasks of one shape, summed over a home's teams."""
+
+    shape: Shape
+    yard: str | None
+    count: int
+    lineup: str
+
+
+class BoxState(msgspec.Struct, array_like=True):
+    """A machine as its part's owner sees it, for the fleet's owner."""
+
+    name: str
+    rig: str
+    loaners: bool
+    used: float
+    idle_s: float
+    heard_s: float
+    doomed: bool
+    drained: bool
+    sick: bool
+
+
+class Drain(msgspec.Struct, tag="drain"):
+    """The fleet asks a part to give nothing more to machines that it will return."""
+
+    zone: str
+    machines: list[str]
+
+
+class Usage(msgspec.Struct, array_like=True):
+    team: str
+    cpus: float
+    waiting: float
+    over: float
+
+
+class Gossip(msgspec.Struct, tag="gossip"):
+    """What every node tells every other one from time to time."""
+
+    node: str
+    state_age: float
+    owned: dict[str, int]
+    usage: list[Usage] = []
+    demand: list[Demand] = []
+    boxes: dict[str, list[BoxState]] = {}
+    progress: dict[str, tuple[int, int]] = {}
+    settled: bool = False
+
+
+class Relay(msgspec.Struct, tag="relay"):
+    """A report taken on the owner's behalf from a worker that cannot reach the owner."""
+
+    report: bytes
+
+
+class RelayReply(msgspec.Struct, tag="relay_r"):
+    status: int
+    body: bytes
+
+
+class Ok(msgspec.Struct, tag="ok"):
+    pass
+
+
+class No(msgspec.Struct, tag="no"):
+    """The receiver is not in a position to answer (not the owner, stale token)."""
+
+    why: str
+
+
+Body = (
+    Ask | AskReply | Reserve | ReserveReply | Launch | LaunchReply | MachineNews | Look | LookReply | Stop
+    | Fence | Gone | Drain | Gossip | Relay | RelayReply | Ok | No
+)
+
+
+class Envelope(msgspec.Struct, array_like=True):
+    """`call` > 0: a request; < 0: the reply to request -call; 0: no reply wanted.
+
+    `boot` names the sender's process, `number` counts its messages.
+    """
+
+    sender: str
+    boot: int
+    number: int
+    call: int
+    body: Body
+
+
+MAX_FRAME = 4 * 1024 * 1024
+envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+envelope_encoder = msgspec.msgpack.Encoder()
