--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -24,6 +24,7 @@
 log = logging.getLogger("tealhook")
 
 Reply = Callable[..., Any]
+MAX_ZONES = 256
 
 
 class Controller:
@@ -122,9 +123,9 @@
 
     def _on_zone(self, zone: str) -> None:
         """A report names a zone: it gets its part, if it is one that could be."""
-        if len(zone) <= 64 and zone and not any(c.isspace() or c == "/" for c in zone):
-            if len(self.ownership.zones()) < 256:
-                self.ownership.add(PART + zone)
+        named = 0 < len(zone) <= 64 and not any(c.isspace() or c == "/" for c in zone)
+        if named and len(self.ownership.zones()) < MAX_ZONES:
+            self.ownership.add(PART + zone)
 
     # -- news
 
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -575,9 +575,10 @@
             for job in home.jobs.values():
                 if job.committing or job.unsure:
                     continue
+                over = job.spec is None and not job.attempts and job.live_stamp
                 if job.staged or job.finished:
                     hard.append((home, job))
-                elif job.soft and now - job.soft_at > self._workers.report_s or job.spec is None and not job.attempts and job.live_stamp:
+                elif over or (job.soft and now - job.soft_at > self._workers.report_s):
                     soft.append((home, job))
         if hard:
             hard.sort(key=lambda pair: (not pair[1].finished, -pair[1].done_count))
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -265,9 +265,9 @@
             content = (machine.shift, tuple((s.job, s.index, s.attempt, s.status) for s in seen))
             last = machine.told.get(team)
             exits = any(s.status == wire.EXITED for s in seen)
-            if last is not None and last[0] == content and team != force:
-                if not exits or now - last[1] < 2 * self._workers.report_s:
-                    continue
+            settled = not exits or last is None or now - last[1] < 2 * self._workers.report_s
+            if last is not None and last[0] == content and team != force and settled:
+                continue
             machine.told[team] = (content, now)
             self._seq += 1
             self._tell(team, mesh.MachineNews(
