Part news never omits tasks of jobs that a cut-off owner does not know

The part now keeps team and need of what it launched, and says nothing of a machine with a task it can't name.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -459,14 +459,14 @@
                 continue
             surplus -= rig.vcpus
             wanted.setdefault(box.yard, set()).add(box.name)
-        for zone in set(wanted) | set(self._drains):
+        for zone in sorted(wanted.keys() | self._drains.keys()):
             owner = self._own.owner(part_key(zone))
             names = wanted.get(zone, set())
             if owner is not None and (names or self._drains.get(zone)):
                 self._mesh.send(owner, mesh_wire.Drain(zone, sorted(names)))
         self._drains = wanted
         for names in wanted.values():
-            for name in names - self._fences.keys():
+            for name in sorted(names - self._fences.keys()):
                 state = boxes.get(name)
                 if state is not None and state.drained:
                     self._fences.setdefault(name, now)
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -191,7 +191,7 @@
                     stops.append((news.machine, seen.job, seen.index, seen.attempt, -1.0))
             elif seen.status != "launching":
                 stops.append((news.machine, seen.job, seen.index, seen.attempt, 0.0))
-        for team, job_id, index in list(self._on_machine.get(news.machine, ())):
+        for team, job_id, index in sorted(self._on_machine.get(news.machine, ())):
             if team != news.team:
                 continue
             job = home.jobs.get(job_id)
@@ -286,7 +286,7 @@
         for name in machines:
             for home in self.homes.values():
                 home.news_at.pop(name, None)
-            for team, job_id, index in list(self._on_machine.get(name, ())):
+            for team, job_id, index in sorted(self._on_machine.get(name, ())):
                 home = self.homes.get(team)
                 job = home.jobs.get(job_id) if home else None
                 attempt = job.attempts.get(index) if job else None
@@ -321,7 +321,7 @@
         for job in home.jobs.values():
             for attempt in job.attempts.values():
                 zones.setdefault(attempt.zone, set()).add(attempt.machine)
-        for zone, machines in zones.items():
+        for zone, machines in sorted(zones.items()):
             owner = self._own.owner(part_key(zone))
             if owner is None:
                 continue
@@ -338,7 +338,7 @@
         fence_s = self._policy.value("fence_s", self._variables())
         lost = []
         for name, silent in zip(names, reply.silent, strict=False):
-            for _team, job_id, index in list(self._on_machine.get(name, ())):
+            for _team, job_id, index in sorted(self._on_machine.get(name, ())):
                 job = home.jobs.get(job_id)
                 attempt = job.attempts.get(index) if job else None
                 if attempt is None or attempt.machine != name:
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +24,7 @@
 log = logging.getLogger("tealhook.parts")
 
 NEVER_S = 1e9
+MAX_JOBS = 4096
 MAX_ORDERS = 300  # keeps a response far below the line limit
 RATE_WEIGHT = 0.2  # of a measured fetch in the rate learned of a type
 
@@ -50,7 +52,9 @@
         self._seq = 0
         self._rid = effects.rng.getrandbits(40) << 20
         self._rates: dict[str, float] = {}
-        self._needs: dict[str, Need] = {}
+        # Teams and needs of jobs whose tasks were launched here: the book lacks them while we are cut off from
+        # the state service, and what a home is told of its tasks must not lack any on that account.
+        self._launched: OrderedDict[str, tuple[str, Need]] = OrderedDict()
         self._job_errors: dict[str, set[str]] = {}
 
     # -- what is known of tasks
@@ -58,9 +62,13 @@
     def _need(self, job: str) -> Need | None:
         known = self._book.active.get(job)
         if known is not None:
-            self._needs[job] = known.spec.need
             return known.spec.need
-        return self._needs.get(job)
+        launched = self._launched.get(job)
+        return launched[1] if launched else None
+
+    def _team(self, job: str) -> str | None:
+        launched = self._launched.get(job)
+        return self._book.team(job) or (launched[0] if launched else None)
 
     def _free(self, machine: Machine, booking: Booking | None = None) -> list[float]:
         """Room left on a machine; tasks that yield to `booking` or to any other one do not count."""
@@ -246,7 +254,7 @@
         teams: dict[str, list[mesh.Seen]] = {}
         unknown = None
         for held in machine.held.values():
-            team = self._book.team(held.job)
+            team = self._team(held.job)
             if team is None:
                 unknown = held.job
                 continue
@@ -259,8 +267,10 @@
                     mesh.Seen(booking.job, booking.index, booking.attempt, "launching")
                 )
         if unknown is not None:
+            # Whose task that is nobody here knows: news without it would pass for a proof of its absence.
             self._strangers(unknown)
-        for team in set(teams) | set(machine.told) | ({force} if force else set()):
+            return
+        for team in sorted(teams.keys() | machine.told.keys() | ({force} if force else set())):
             seen = teams.get(team, [])
             content = (machine.shift, tuple((s.job, s.index, s.attempt, s.status) for s in seen))
             last = machine.told.get(team)
@@ -505,6 +515,10 @@
                 refused.append(start.rid)
                 continue
             booking.index, booking.attempt, booking.launching = start.index, start.attempt, True
+            self._launched[booking.job] = (booking.team, booking.need)
+            self._launched.move_to_end(booking.job)
+            if len(self._launched) > MAX_JOBS:
+                self._launched.popitem(last=False)
             for victim in booking.victims:
                 held = machine.held.get(victim)
                 known = self._book.active.get(held.job) if held else None
