--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -10,7 +10,8 @@
 from tealhook.wire.mesh import Demand, Shape
 from tealhook.wire.users import URGENCY_RANK
 
-WINDOW_BOOTS = 4  # lately: so many boots
+WINDOW_BOOTS = 2  # lately: so many boots
+URGENT_BOOTS = 0.7  # within so much of a boot, waiting urgent work is to be worked off
 
 
 def slots_per_machine(rig: MachineType, shape: Shape) -> int:
@@ -47,17 +48,23 @@
             known = self._within.get(objective.class_, math.inf)
             self._within[objective.class_] = min(known, objective.within_s)
 
-    def seconds(self, lineup: str) -> float:
-        """A third of what the objective allows: the rest is for its boots, its tail and what comes next."""
-        return max(self._boot_s, self._within.get(lineup, WINDOW_BOOTS * 3 * self._boot_s) / 3)
+    def seconds(self, lineup: str, urgent: bool) -> float:
+        """A third of what the objective allows: the rest is for its boots, its tail and what comes next.
+
+        Urgent work that waits for boots anyway is worked off in less than another boot.
+        """
+        if urgent:
+            return URGENT_BOOTS * self._boot_s
+        return max(self._boot_s, self._within.get(lineup, 12 * self._boot_s) / 3)
 
 
 def backlog_cpus(types: dict[str, MachineType], demand: Demand, horizon: Horizon) -> float:
-    """CPUs that work off a class's waiting tasks in time; those above standard urgency want room at once."""
+    """CPUs that work off a class's waiting tasks in time."""
     whole = machine_cpus(types, demand)
-    if demand.shape.urgency > URGENCY_RANK["standard"] or demand.count <= 0:
-        return whole
-    share = min(1.0, max(demand.shape.run_s, 1.0) / horizon.seconds(demand.lineup))
+    if demand.count <= 0:
+        return 0.0
+    urgent = demand.shape.urgency > URGENCY_RANK["standard"]
+    share = min(1.0, max(demand.shape.run_s, 1.0) / horizon.seconds(demand.lineup, urgent))
     return max(whole * share, whole / demand.count)
 
 
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -29,10 +29,15 @@
 CALL_TIMEOUT_S = 5.0
 USED_SHARE = 0.9
 LATE_BOOT = 2.0  # of ready_s: from then on a starting machine is not counted on
+LEAST_PAID_S = 60.0  # the protocol: a machine that is deleted costs at least that
 DEAD_BOOT = 4.0  # of ready_s: from then on it is released
 Option = tuple[str, str, bool]  # type, zone, spot
 
 
+def _cpu_price(rig: wire.MachineType, loaners: bool) -> float:
+    return (rig.spot_price if loaners else rig.hourly) / max(rig.vcpus, 1e-6)
+
+
 class _Box:
     """A machine that we rent."""
 
@@ -334,8 +339,8 @@
         lasting = min(self._history.lasting, waiting)
         target = max(ready, used + waiting if lasting > 0 else 0.0)
         missing = target - up - coming
-        if lasting > 0:
-            missing = max(missing, lasting - coming)
+        if lasting > 0 and not coming:
+            missing = max(missing, 1.0)  # what is up can't serve it: its room is of the wrong kind or in pieces
         log.debug("fleet: up %g coming %g used %g waiting %g ready %g", up, coming, used, waiting, ready)
         if missing > 0 and (self._cold or now - self._began > self._lag):
             self._rent(missing, demand, spot, up + coming, variables, now)
@@ -361,9 +366,8 @@
                         for shape, yard in shapes
                     ):
                         continue
-                    hourly = rig.spot_price if loaners else rig.hourly
                     # A machine is paid for while it boots: over a life of some ten boots that adds up.
-                    cost = hourly / max(rig.vcpus, 1e-6) * (1.0 + rig.ready_s / (10 * quickest))
+                    cost = _cpu_price(rig, loaners) * (1.0 + rig.ready_s / (10 * quickest))
                     options.append((cost * (1.0 + 0.001 * count.get(zone, 0)), option))
         options.sort()
         return options
@@ -446,6 +450,8 @@
     ) -> None:
         """Return what idles beyond the ready room, the dearest first; and machines that fail their tasks."""
         idle_return_s = self._policy.value("idle_return_s", variables)
+        prices = [_cpu_price(rig, kind) for rig in self._types.values() for kind in (True, False)]
+        cheapest = min(price for price in prices if price > 0) if any(prices) else 0.0
         wanted: dict[str, set[str]] = {}
         idle = []
         for box in self._boxes.values():
@@ -458,9 +464,12 @@
                 continue
             if state.sick:
                 wanted.setdefault(box.yard, set()).add(box.name)
-            elif state.idle_s >= idle_return_s and not state.doomed:
-                hourly = rig.spot_price if box.loaners else rig.hourly
-                idle.append((-hourly / max(rig.vcpus, 1e-6), -state.idle_s, box, rig))
+            elif not state.doomed:
+                # The dearer a machine, the sooner; but what is paid for anyway is kept that long.
+                price = _cpu_price(rig, box.loaners)
+                patience = idle_return_s * (cheapest / price if price > 0 else 1.0)
+                if state.idle_s >= patience and now - box.born >= LEAST_PAID_S:
+                    idle.append((-price, -state.idle_s, box, rig))
         for _cost, _idle, box, rig in sorted(idle, key=lambda item: (item[0], item[1], item[2].name)):
             if surplus < rig.vcpus:
                 continue
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -25,6 +25,7 @@
 
 NEVER_S = 1e9
 MAX_JOBS = 4096
+WORTH_STOPPING = 1.5  # of the run time that a task is stopped for: the most that may be thrown away
 MAX_ORDERS = 300  # keeps a response far below the line limit
 RATE_WEIGHT = 0.2  # of a measured fetch in the rate learned of a type
 
@@ -472,10 +473,14 @@
             free[machine.name] = [have - used for have, used in zip(room, need, strict=True)]
             given.append(self._book_room(machine, want, need, victims, now))
 
+    @staticmethod
+    def _ran(held: Held, now: float) -> float:
+        return now - held.ran_from if held.ran_from else 0.0
+
     def _lost(self, held: Held, now: float) -> float:
         """CPU seconds that stopping a task throws away."""
         known = self._book.active[held.job]
-        ran = now - held.ran_from if held.ran_from else 0.0
+        ran = self._ran(held, now)
         if known.spec.snapshot_every_s > 0:
             ran = known.spec.snapshot_s
         return (ran + known.spec.pull_gb) * max(known.spec.vcpus, known.spec.cards)
@@ -486,7 +491,9 @@
         over: dict[str, float] = {}
         now = self._fx.now()
         stoppable = [h for h in machine.held.values() if h.alive and not h.yields_to and h.status != "flushing"]
-        stoppable = [h for h in stoppable if h.job in self._book.active]
+        # One that has run for long is nearer to its end than to its beginning: room frees sooner than it is worth.
+        longest = max(WORTH_STOPPING * want.shape.run_s, self._workers.lease_s)
+        stoppable = [h for h in stoppable if h.job in self._book.active and self._ran(h, now) <= longest]
         for held in sorted(stoppable, key=lambda h: self._lost(h, now)):
             if fits(room, need):
                 break
