--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,56 @@
+"""The HTTP parser: messages in pieces, limits, malformed input."""
+
+import random
+
+import pytest
+
+from tealhook.http import HttpError, MessageParser
+from tealhook.http.parser import MAX_BODY, MAX_HEAD, encode_request, encode_response
+
+
+def test_messages_cut_anywhere_come_out_the_same():
+    raw = encode_request("POST", "/work", "h", b'{"a":1}') + encode_request("GET", "/healthz", "h", None)
+    chunked = b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e=1\r\nde\r\n0\r\nT: v\r\n\r\n"
+    for seed in range(50):
+        rng = random.Random(seed)
+        parser, found, data = MessageParser(responses=False), [], raw + chunked
+        while data:
+            cut = rng.randint(1, 9)
+            parser.feed(data[:cut])
+            data = data[cut:]
+            while (message := parser.next()) is not None:
+                found.append((message.method, message.target, message.body))
+        assert found == [("POST", "/work", b'{"a":1}'), ("GET", "/healthz", b""), ("POST", "/x", b"abcde")]
+        assert parser.idle
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (b"GARBAGE\r\n\r\n", 400),
+    (b"GET work HTTP/1.1\r\n\r\n", 400),
+    (b"GET / HTTP/2.0\r\n\r\n", 505),
+    (b"GET / HTTP/1.1\r\nbad header: x\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (MAX_BODY + 1), 413),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n", 413),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (b"GET / HTTP/1.1\r\nX: " + b"a" * MAX_HEAD, 431),
+])
+def test_bad_input_is_refused_with_its_status(raw, status):
+    parser = MessageParser(responses=False)
+    parser.feed(raw)
+    with pytest.raises(HttpError) as caught:
+        parser.next()
+    assert caught.value.status == status
+
+
+def test_response_until_the_connection_ends():
+    parser = MessageParser(responses=True)
+    parser.feed(b"HTTP/1.1 200 OK\r\n\r\nhello")
+    assert parser.next() is None
+    assert parser.end().body == b"hello"
+
+
+def test_retry_after_and_close_are_sent():
+    raw = encode_response(503, b"{}", False, 2)
+    assert b"Retry-After: 2\r\n" in raw and b"Connection: close\r\n" in raw
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,89 @@
+"""Estimates, feedback and min-min rounds."""
+
+import random
+
+import pytest
+
+from tealhook.loop import TokenBucket
+from tealhook.placement import Feedback, Group, PartView, Placed, plan_round
+from tealhook.placement.minmin import finish
+
+
+def view(cached=0, uncached=0, next_s=1e9, rate=1.0, factor=0.0):
+    return PartView(cached, uncached, next_s, rate, factor)
+
+
+def group(job, count, parts, run_s=10.0, rank=(0,), image_gb=2.0, **more):
+    return Group(job, count, rank, image_gb, run_s, (1.0, 0.0, 1.0), parts, **more)
+
+
+def test_feedback_follows_the_papers_equation():
+    factor = Feedback(0.0)
+    placed = Placed(free_at=100.0, fetch_s=2.0, run_s=8.0)
+    factor.finish(placed, 115.0, 0.8)  # actual 15 against 10
+    assert factor.factor == pytest.approx(0.8 * (15 - 10) / 10)
+    factor.finish(placed, 200.0, 0.8)
+    assert factor.factor == 1.0  # capped
+    factor.idle(205.0, 10.0)
+    assert factor.factor == pytest.approx(0.5)
+    factor.idle(300.0, 10.0)
+    assert factor.factor == 0.0
+    assert Placed(0.0, 0.0, 0.1).estimate == 1.0  # floored at one second
+
+
+def test_finish_counts_free_time_fetch_run_and_factor():
+    g = group("a", 1, {})
+    assert finish(view(factor=0.5), g, 3.0, 2.0) == pytest.approx(3.0 + 1.5 * 12.0)
+
+
+def test_cached_part_wins_until_it_is_full():
+    g = group("a", 5, {"x": view(cached=2), "y": view(uncached=9)})
+    assert [(c.zone, c.count) for c in plan_round([g])] == [("x", 2), ("y", 3)]
+
+
+def test_a_part_that_disappoints_is_passed_over():
+    g = group("a", 1, {"x": view(cached=1, factor=0.9), "y": view(uncached=1)})
+    assert plan_round([g])[0].zone == "y"
+
+
+def test_rank_comes_before_min_min_and_within_it_the_earliest_finish():
+    room = {"x": view(uncached=4)}
+    late = group("late", 4, dict(room), run_s=1.0, rank=(1,))
+    long = group("long", 2, {"x": view(uncached=4)}, run_s=50.0, rank=(0,))
+    short = group("short", 1, {"x": view(uncached=4)}, run_s=5.0, rank=(0,))
+    choices = plan_round([late, long, short])
+    assert [(c.group.job, c.count, c.hold) for c in choices] == [
+        ("short", 1, False), ("long", 2, False), ("late", 1, False),
+    ]
+
+
+def test_room_is_never_given_twice_and_limits_hold():
+    for seed in range(200):
+        rng = random.Random(seed)
+        room = {zone: rng.randint(0, 6) for zone in "xyz"}
+        groups = [
+            group(f"j{i}", rng.randint(1, 8), {z: view(uncached=n, next_s=3.0) for z, n in room.items()},
+                  run_s=rng.uniform(1, 60), rank=(rng.randint(0, 1),),
+                  limits={"x": rng.randint(0, 2)} if rng.random() < 0.5 else {})
+            for i in range(4)
+        ]
+        allowed = {g.job: dict(g.limits) for g in groups}
+        given = dict.fromkeys(room, 0)
+        for choice in plan_round(groups):
+            if not choice.hold:
+                given[choice.zone] += choice.count
+                if choice.zone in allowed[choice.group.job]:
+                    allowed[choice.group.job][choice.zone] -= choice.count
+                    assert allowed[choice.group.job][choice.zone] >= 0
+        assert all(given[zone] <= room[zone] for zone in room)
+
+
+def test_tokens_never_exceed_rate_and_burst():
+    rng = random.Random(1)
+    bucket, now, taken = TokenBucket(10.0, 10.0, 0.0), 0.0, 0
+    while now < 20.0:
+        now += rng.uniform(0.0, 0.1)
+        taken += bucket.take(1, now)
+        assert taken <= 10.0 + 10.0 * now + 1e-6
+    assert taken > 190
+    assert bucket.wait(5, now) > 0 and not bucket.take(5, now, keep=6)
