--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -19,7 +19,7 @@
 from tealhook.wire import state as state_wire
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.common import dumps, error_body
-from tealhook.wire.users import BadSpec, JobSpec, JobStatus, parse_job, valid_job_id
+from tealhook.wire.users import ARRAY, BadSpec, JobSpec, JobStatus, parse_job, valid_job_id
 
 log = logging.getLogger("tealhook.jobs")
 
@@ -124,8 +124,9 @@
         team = self._teams.get(spec.crew)
         if team is None:
             return "unknown team"
-        if 0 < team.cpus_max < spec.vcpus or 0 < team.gpus_max < spec.cards:
-            return "a task needs more than the team's limit"
+        at_once = 1 if spec.shape == ARRAY else spec.plays
+        if 0 < team.cpus_max < at_once * spec.vcpus or 0 < team.gpus_max < at_once * spec.cards:
+            return "the job needs more than the team's limit"
         if not self._types:
             return None
         for rig in self._types.values():
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -15,13 +15,13 @@
 from tealhook.jobs.job import LIVE, Attempt, Job, live_key
 from tealhook.loop.effects import Effects, every
 from tealhook.mesh import Mesh
-from tealhook.placement import Choice, Feedback, Group, PartView, Placed, plan_round
+from tealhook.placement import NEVER_S, Choice, Feedback, Group, PartView, Placed, plan_round
 from tealhook.settings import Policy, Settings
 from tealhook.store import FLEET, Outcome, Ownership, Priority, StateClient, home_key, part_key
 from tealhook.wire import mesh as wire
 from tealhook.wire import state as state_wire
 from tealhook.wire.common import dumps
-from tealhook.wire.users import URGENCY_RANK
+from tealhook.wire.users import SERVICE, URGENCY_RANK
 
 log = logging.getLogger("tealhook.jobs")
 
@@ -253,6 +253,7 @@
                 log.info("%s/%d refused by %s: %s", job.id, attempt.index, attempt.machine, seen.cause)
                 job.not_before = max(job.not_before, now + self._workers.report_s / 2)
             job.give_back(attempt.index, now)
+            self._break_up(home, job)
             self._wake()
         self._end_if_clear(home, job)
         stops.append(clear)
@@ -283,9 +284,15 @@
         self._soften(job, now)
         if job.spec is not None:
             job.give_back(attempt.index, now)
+            self._break_up(home, job)
             self._wake()
         self._end_if_clear(home, job)
 
+    def _break_up(self, home: TeamHome, job: Job) -> None:
+        """A gang that lost a task can't go on: the rest is stopped, and all of it is placed anew."""
+        if job.gang and job.attempts:
+            self._stop_all(home, job)
+
     def gone(self, machines: list[str]) -> None:
         """The cloud has taken these machines, with all that was on them."""
         for name in machines:
@@ -428,7 +435,10 @@
                 for have, need in zip(room, job.need[:2], strict=True):
                     if need > 0:
                         count = min(count, int((have + 1e-6) / need))
-                if job.failures >= PATIENT_FAILURES:
+                if job.gang:
+                    # One task of the paper's: all of it at once, after every earlier try is off.
+                    count = 0 if job.attempts or job.staged or count < job.waiting() else count
+                elif job.failures >= PATIENT_FAILURES:
                     count = min(count, max(0, 1 - len(job.attempts)))
                 if count <= 0:
                     continue
@@ -471,6 +481,10 @@
                 parts[zone] = PartView(
                     room.cached, room.uncached, room.next_s, room.rate, factor.factor if factor else 0.0
                 )
+                if item.job.gang:  # in one part, once all its room is free
+                    whole = room.cached + room.uncached
+                    parts[zone].cached, parts[zone].uncached = 0, whole if whole >= item.count else 0
+                    parts[zone].next_s = NEVER_S
             limits = self._limits(item.job, list(answers))
             if item.job.spec.together and not item.job.zones():
                 # All of the job must go to one zone: the one with most room now.
@@ -478,7 +492,8 @@
                 limits |= {zone: 0 for zone in answers if zone != best}
             by_job[item.job.id] = item
             groups.append(Group(
-                item.job.id, item.count, item.rank, item.job.spec.pull_gb, item.job.spec.expected_s,
+                item.job.id, item.count, item.rank, item.job.spec.pull_gb,
+                0.0 if item.job.spec.shape == SERVICE else item.job.spec.expected_s,  # free time alone
                 item.job.need, parts, item.aged, self._may_preempt(item, now), limits,
             ))
         choices = plan_round(groups)
@@ -501,6 +516,8 @@
         wants: dict[str, list[tuple[_Mappable, int, Choice]]] = {}
         for choice in choices:
             item = by_job[choice.group.job]
+            if item.job.gang and choice.count < item.count:
+                continue
             if choice.hold and not (choice.group.aged or choice.group.can_preempt):
                 continue
             wants.setdefault(choice.zone, []).append((item, choice.count, choice))
@@ -551,6 +568,8 @@
             if limit > 0 and job.need[which] > 0:
                 most = min(most, int((limit - home.taken(which) + 1e-6) / job.need[which]))
         most = min(most, self._limits(job, [zone]).get(zone, most))
+        if job.gang and most < job.waiting():
+            return 0
         indexes = job.take_waiting(max(0, min(most, len(slots))))
         for index, slot in zip(indexes, slots, strict=False):
             job.counter += 1
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -8,7 +8,7 @@
 from tealhook.jobs.book import Known
 from tealhook.placement import Placed
 from tealhook.wire.mesh import Shape
-from tealhook.wire.users import URGENCY_RANK, JobSpec
+from tealhook.wire.users import GANG, URGENCY_RANK, JobSpec
 
 LIVE = "live/"
 AVOID = 8  # machines on which a job failed lately, not tried again at once
@@ -82,6 +82,11 @@
     def finished(self) -> bool:
         return self.spec is not None and self.done_count >= self.plays
 
+    @property
+    def gang(self) -> bool:
+        """All tasks start together, or none does."""
+        return self.spec is not None and self.spec.shape == GANG
+
     def waiting(self) -> int:
         """Tasks that are neither done nor assigned."""
         if self.spec is None:
--- a/tealhook/placement/minmin.py
+++ b/tealhook/placement/minmin.py
@@ -12,7 +12,7 @@
 
 from tealhook.placement.feedback import FLOOR_S
 
-NEVER_S = 1e8
+NEVER_S = 1e8  # from here on a part will not be free
 
 
 @dataclass(slots=True)
--- a/tealhook/wire/users.py
+++ b/tealhook/wire/users.py
@@ -9,6 +9,8 @@
 
 MAX_TASKS = 100_000
 URGENCIES = ("low", "standard", "urgent", "production")
+ARRAY, GANG, SERVICE = "array", "group", "service"
+SHAPES = (ARRAY, GANG, SERVICE)
 URGENCY_RANK = {name: rank for rank, name in enumerate(URGENCIES)}
 _JOB_ID = re.compile(r"req-[0-9A-Za-z_.-]{1,64}\Z")
 
@@ -79,8 +81,8 @@
         raise BadSpec("name_id: not a job id")
     if not spec.lineup or not spec.crew or len(spec.lineup) > 200 or len(spec.crew) > 120:
         raise BadSpec("lineup, crew: must be present and short")
-    if spec.shape != "array":
-        raise BadSpec("shape: must be 'array'")
+    if spec.shape not in SHAPES:
+        raise BadSpec(f"shape: must be one of {', '.join(SHAPES)}")
     if spec.urgency not in URGENCY_RANK:
         raise BadSpec("urgency: unknown")
     if not 1 <= spec.plays <= MAX_TASKS:
