--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -571,8 +571,9 @@
         if job.gang and most < job.waiting():
             return 0
         indexes = job.take_waiting(max(0, min(most, len(slots))))
-        for index, slot in zip(indexes, slots, strict=False):
-            job.counter += 1
+        for position, (index, slot) in enumerate(zip(indexes, slots, strict=False)):
+            if not (job.gang and position):  # the tasks of a gang find one another by their attempt
+                job.counter += 1
             attempt = Attempt(index, job.counter, slot.machine, slot.shift, zone, token, now)
             attempt.rid = slot.rid
             attempt.placed = Placed(now, slot.fetch_s, job.spec.expected_s)
