An owner cut off from the state service gives its workers up to the new owner

Now peers tell one another their tokens, a new owner tells workers its token directly, and machines of parts whose owner is not heard are not taken for dead.

--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -15,7 +15,7 @@
 from tealhook.mesh import Mesh
 from tealhook.parts import PartKeeper
 from tealhook.settings import Policy, Settings
-from tealhook.store import FLEET, Ownership, StateClient, home_key
+from tealhook.store import FLEET, Ownership, StateClient, home_key, part_key
 from tealhook.store.ownership import HOME, PART
 from tealhook.wire import mesh as wire
 from tealhook.wire.cloud import MachineType
@@ -175,10 +175,13 @@
         demand = self.homes.demand()
         boxes = {zone: part.states() for zone, part in self.parts.parts.items()}
         age = now - self.store.answered_at
+        addrs = self.fleet.addresses()
+        holdings = self.ownership.holdings()
         for peer in (*self.mesh.peers, self.mesh.node):
+            theirs = {zone: names for zone, names in addrs.items() if self.ownership.owner(part_key(zone)) == peer}
             body = wire.Gossip(
-                self.mesh.node, age, {}, usage, demand if peer == fleet else [], boxes if peer == fleet else {},
-                progress, self.ownership.settled,
+                self.mesh.node, age, holdings, usage, demand if peer == fleet else [],
+                boxes if peer == fleet else {}, progress, theirs,
             )
             if peer == self.mesh.node:
                 self._on_gossip(body)
@@ -192,6 +195,10 @@
         self._gossip[body.node] = (now, body)
         if body.node != self.mesh.node:
             self._peer_state[body.node] = now - body.state_age
+            self.ownership.hear(body.node, body.owned)
+        for zone, names in body.addrs.items():
+            if zone in self.parts.parts:
+                self.parts.parts[zone].call_in(names)
         for job, counts in body.progress.items():
             if job in self.book.active:
                 self._progress[job] = (counts[0], counts[1])
@@ -200,6 +207,7 @@
 
     def _plan_fleet(self, now: float) -> None:
         boxes: dict[str, wire.BoxState] = {}
+        zones: set[str] = set()
         usage: list[wire.Usage] = []
         demand: list[wire.Demand] = []
         for at, body in self._gossip.values():
@@ -207,12 +215,13 @@
                 continue
             usage.extend(body.usage)
             demand.extend(body.demand)
-            for states in body.boxes.values():
+            for zone, states in body.boxes.items():
+                zones.add(zone)
                 for state in states:
                     known = boxes.get(state.name)
                     if known is None or state.heard_s < known.heard_s:
                         boxes[state.name] = state
-        self.fleet.plan(boxes, usage, demand)
+        self.fleet.plan(boxes, usage, demand, zones)
 
     def _on_mesh(self, sender: str, body: Any, reply: Callable[[Any], None]) -> None:
         match body:
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -41,7 +41,7 @@
 class _Box:
     """A machine that we rent."""
 
-    __slots__ = ("name", "rig", "yard", "loaners", "status", "born", "up_at", "listed", "absent")
+    __slots__ = ("name", "rig", "yard", "loaners", "status", "born", "up_at", "listed", "absent", "told_at", "addr")
 
     def __init__(self, name: str, rig: str, yard: str, loaners: bool, born: float) -> None:
         self.name = name
@@ -51,6 +51,8 @@
         self.status = "starting"
         self.born = born
         self.up_at = 0.0
+        self.addr = ""
+        self.told_at = 0.0  # when its part's owner last told of it, or could not
         self.listed = False
         self.absent = False  # listed before, not in the last list
 
@@ -189,15 +191,27 @@
             self._list("", [])
 
     def plan(self, boxes: dict[str, mesh_wire.BoxState], usage: list[mesh_wire.Usage],
-             demand: list[mesh_wire.Demand]) -> None:
-        """Compare what is up with what is wanted; rent or drain. Called with what all nodes tell."""
+             demand: list[mesh_wire.Demand], zones: set[str]) -> None:
+        """Compare what is up with what is wanted; rent or drain. Called with what all nodes tell.
+
+        `zones`: those whose owner has told us of its machines lately.
+        """
         if self._token is None or not self._types or not (self._list_ok or self._cold):
             return
         now = self._fx.now()
         self._last = (boxes, usage, demand)
-        self._watch_health(boxes, now)
+        self._watch_health(boxes, zones, now)
         self._balance(boxes, usage, demand, now)
 
+    def addresses(self) -> dict[str, dict[str, str]]:
+        """Where the workers of machines that are up can be reached, by zone."""
+        found: dict[str, dict[str, str]] = {}
+        if self._token is not None:
+            for box in self._boxes.values():
+                if box.addr and box.status == "running":
+                    found.setdefault(box.yard, {})[box.name] = box.addr
+        return found
+
     # -- the list
 
     def _list(self, after: str, found: list[wire.Listed]) -> None:
@@ -237,6 +251,7 @@
                 box = _Box(item.name_id, item.rig, item.yard, item.loaners, now - item.age_s)
                 self._boxes[item.name_id] = box
             box.listed = True
+            box.addr = item.addr
             box.absent = False
             if item.status == "failed":
                 # It has stopped of its own accord; releasing it takes it off the list, and is the proof.
@@ -266,13 +281,13 @@
         if not names or not self._bucket.take(1, now):
             return
         self._releasing.update(names)
-        log.info("releasing %s", ", ".join(names))
 
         def answer(status: int | None, _body: bytes) -> None:
             self._calling -= 1
             self._releasing.difference_update(names)
             if status != 200:
                 return
+            log.info("released %s", ", ".join(names))
             for name in names:
                 self._fences.pop(name, None)
                 self._boxes.pop(name, None)
@@ -281,13 +296,16 @@
 
         self._call("POST", "/rentals/release", dumps({"boxes": names}), answer)
 
-    def _watch_health(self, boxes: dict[str, mesh_wire.BoxState], now: float) -> None:
+    def _watch_health(self, boxes: dict[str, mesh_wire.BoxState], zones: set[str], now: float) -> None:
         lease_s = self._settings.params.workers.lease_s
         fence_s = self._policy.value("fence_s", self._variables())
         for box in self._boxes.values():
             rig = self._types.get(box.rig)
             ready_s = rig.ready_s if rig else lease_s
             state = boxes.get(box.name)
+            if state is not None or box.yard not in zones:
+                # An owner that is cut off, crashed or new tells of no machine: that says nothing of the machine.
+                box.told_at = now
             if state is not None:
                 if box.status == "starting":
                     box.status, box.up_at = "running", now
@@ -298,7 +316,7 @@
             elif box.status == "starting" and now - box.born > DEAD_BOOT * ready_s + self._lag:
                 log.info("%s never came up", box.name)
                 self._fences.setdefault(box.name, now)
-            elif box.status == "running" and now - max(box.up_at, self._began) > 4 * lease_s:
+            elif box.status == "running" and now - max(box.up_at, box.told_at, self._began) > 4 * lease_s:
                 log.info("%s runs, but its worker does not report", box.name)
                 self._fences.setdefault(box.name, now)
 
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -497,6 +497,11 @@
                 item.job.need, parts, item.aged, self._may_preempt(item, now), limits,
             ))
         choices = plan_round(groups)
+        if log.isEnabledFor(logging.DEBUG):
+            for g in groups:
+                left = {z: (v.cached, v.uncached, round(min(v.next_s, 999.0), 1)) for z, v in g.parts.items()}
+                log.debug("round: %s rank %s need %s waits %d of %d; left %s",
+                          g.job, g.rank, g.need, g.count, by_job[g.job].count, left)
         self._reserve(choices, by_job, zones, list(answers), now)
 
     def _may_preempt(self, item: _Mappable, now: float) -> bool:
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from tealhook.jobs.book import CANCELLED, DONE, Book
 from tealhook.loop.effects import Effects
 from tealhook.parts.machine import MAX_RESENDS, Booking, Held, Machine, Need, capacity, fits, slots
@@ -56,8 +58,40 @@
         # Teams and needs of jobs whose tasks were launched here: the book lacks them while we are cut off from
         # the state service, and what a home is told of its tasks must not lack any on that account.
         self._launched: OrderedDict[str, tuple[str, Need]] = OrderedDict()
+        self._called: dict[str, float] = {}  # machine -> when its worker was last told of our token
         self._job_errors: dict[str, set[str]] = {}
 
+    def call_in(self, addrs: dict[str, str]) -> None:
+        """Tell workers that have not come under our token of it, directly, so that they do.
+
+        They may be with an earlier owner who can't know that it is none any more, and would answer them for
+        ever. Only the token is told: commands sent this way could be executed minutes late.
+        """
+        now = self._fx.now()
+        if now - self.owned_at < 1.5 * self._workers.report_s:
+            return
+        for name, addr in addrs.items():
+            machine = self.machines.get(name)
+            if machine is not None and machine.sure:
+                continue
+            if now - self._called.get(name, -NEVER_S) < self._workers.lease_s / 4:
+                continue
+            self._called[name] = now
+            self._fx.worker(addr, "GET", "/show", None, 2.0, lambda status, body, addr=addr: self._shown(
+                addr, status, body))
+
+    def _shown(self, addr: str, status: int | None, body: bytes) -> None:
+        if status != 200:
+            return
+        try:
+            report = wire.report_decoder.decode(body)
+        except msgspec.DecodeError as exc:
+            log.error("worker at %s: bad answer: %s", addr, exc)
+            return
+        if report.baton < self.token:
+            call = dumps(wire.Orders(self.token, [], report.shift))
+            self._fx.worker(addr, "POST", "/orders", call, 2.0, lambda status, body: None)
+
     # -- what is known of tasks
 
     def _need(self, job: str) -> Need | None:
--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -135,6 +135,26 @@
         """Registered nodes and their zones."""
         return {key[len(NODE):]: row.domain for key, row in self._rows.items() if key.startswith(NODE)}
 
+    def holdings(self) -> dict[str, int]:
+        """Our keys and tokens, for the others to hear of."""
+        return dict(self._held)
+
+    def hear(self, node: str, holdings: dict[str, int]) -> None:
+        """A peer names its keys. A token above ours ends our ownership, even while we can't read so ourselves.
+
+        Without this, an owner cut off from the state service alone would keep its workers by answering them,
+        and the new owner would take their machines for lost.
+        """
+        changed = False
+        for key, token in holdings.items():
+            known = self._rows.get(key)
+            if known is not None and known.stamp < token:
+                known = _Owned({"n": node}, token)
+                self._rows[key] = known
+                changed = True
+        if changed:
+            self._after_change()
+
     def zones(self) -> list[str]:
         """Every zone that has, or should have, a part."""
         keys = self._wanted | self._rows.keys()
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -212,7 +212,7 @@
     demand: list[Demand] = []
     boxes: dict[str, list[BoxState]] = {}
     progress: dict[str, tuple[int, int]] = {}
-    settled: bool = False
+    addrs: dict[str, dict[str, str]] = {}  # from the fleet's owner: zone -> machine -> address
 
 
 class Relay(msgspec.Struct, tag="relay"):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -348,6 +348,26 @@
         if higher or before != {key: play["status"] for key, play in self.plays.items()}:
             self._report()
 
+    def direct(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        """GET /show and POST /orders; a machine without power says nothing, a hanging one answers late."""
+        if not self.up:
+            return
+        if self.hung:
+            self.world.at(0.5, lambda: self.direct(method, target, body, answer))
+            return
+        value = json.loads(body) if body else {}
+        if method == "POST" and (value["baton"] < self.baton or value["shift"] != self.shift):
+            answer(409, json.dumps(self._body()).encode())
+            return
+        if method == "POST":
+            higher = value["baton"] > self.baton
+            self.baton = value["baton"]
+            for order in value["orders"]:
+                self._execute(order)
+            if higher:
+                self.world.at(0.0, self._report)
+        answer(200, json.dumps(self._body()).encode())
+
     def _execute(self, order: dict) -> None:
         world = self.world
         key = (order["play"], order["try"])
--- a/tests/world.py
+++ b/tests/world.py
@@ -126,7 +126,8 @@
         self._call(timeout, answer, lambda once: net.to_cloud(method, target, body, once))
 
     def worker(self, addr, method, target, body, timeout, answer) -> None:
-        self._call(timeout, answer, lambda once: None)
+        self._call(timeout, answer, lambda once: self.world.network.to_worker(
+            self.name, addr, method, target, body, once))
 
     def mesh(self, peer: str, frame: bytes) -> None:
         self.world.network.mesh(self.name, peer, frame)
@@ -210,6 +211,18 @@
 
         self._pass(who, node, arrive)
 
+    def to_worker(self, node: str, addr: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        world = self.world
+
+        def arrive() -> None:
+            if worker.name in world.cloud.machines:
+                worker.direct(method, target, body, lambda status, data: self._pass(
+                    worker.name, node, lambda: answer(status, data)))
+
+        worker = next((w for w in world.cloud.machines.values() if w.addr == addr), None)
+        if worker is not None:
+            self._pass(node, worker.name, arrive)
+
     def mesh(self, sender: str, peer: str, frame: bytes) -> None:
         def arrive() -> None:
             controller = self.world.nodes.get(peer)
