--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -213,8 +213,9 @@
         for at, body in self._gossip.values():
             if now - at > self._workers.lease_s / 2:
                 continue
-            usage.extend(body.usage)
-            demand.extend(body.demand)
+            # After a takeover the earlier owner's last word still stands for a while: a team counts once.
+            usage.extend(u for u in body.usage if self.ownership.owner(home_key(u.team)) == body.node)
+            demand.extend(d for d in body.demand if self.ownership.owner(home_key(d.team)) == body.node)
             for zone, states in body.boxes.items():
                 zones.add(zone)
                 for state in states:
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -359,7 +359,12 @@
         missing = target - up - coming
         if lasting > 0 and not coming:
             missing = max(missing, 1.0)  # what is up can't serve it: its room is of the wrong kind or in pieces
-        log.debug("fleet: up %g coming %g used %g waiting %g ready %g", up, coming, used, waiting, ready)
+        if log.isEnabledFor(logging.DEBUG):
+            classes: dict[str, int] = {}
+            for item in demand:
+                classes[item.lineup] = classes.get(item.lineup, 0) + item.count
+            log.debug("fleet: up %g coming %g used %g waiting %g ready %g; tasks waiting: %s",
+                      up, coming, used, waiting, ready, classes)
         if missing > 0 and (self._cold or now - self._began > self._lag):
             self._rent(missing, demand, spot, up + coming, variables, now)
         self._drain(boxes, up + coming - max(ready, used + waiting), variables, now)
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -906,7 +906,8 @@
                     continue
                 shape = job.shape()
                 entry = found.setdefault(
-                    (shape, job.spec.yard), wire.Demand(shape, job.spec.yard, 0, job.spec.lineup)
+                    (home.team, shape, job.spec.yard),
+                    wire.Demand(home.team, shape, job.spec.yard, 0, job.spec.lineup),
                 )
                 entry.count += count
         return list(found.values())
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -164,8 +164,9 @@
 
 
 class Demand(msgspec.Struct, array_like=True):
-    """Waiting tasks of one shape, summed over a home's teams."""
+    """Waiting tasks of one shape of a team."""
 
+    team: str
     shape: Shape
     yard: str | None
     count: int
