--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -29,6 +29,7 @@
 CALL_TIMEOUT_S = 5.0
 USED_SHARE = 0.9
 LATE_BOOT = 2.0  # of ready_s: from then on a starting machine is not counted on
+GOING_ON = 0.75  # of the CPUs taken now that stay taken over the horizon
 LEAST_PAID_S = 60.0  # the protocol: a machine that is deleted costs at least that
 DEAD_BOOT = 4.0  # of ready_s: from then on it is released
 Option = tuple[str, str, bool]  # type, zone, spot
@@ -355,7 +356,9 @@
                 coming += rig.vcpus
             spot += rig.vcpus if box.loaners else 0.0
         lasting = min(self._history.lasting, waiting)
-        target = max(ready, used + waiting if lasting > 0 else 0.0)
+        # What is taken now frees within the horizon too: only part of it goes on, and what usually comes.
+        going_on = max(self._history.mean, GOING_ON * used)
+        target = max(ready, going_on + waiting if lasting > 0 else 0.0)
         missing = target - up - coming
         if lasting > 0 and not coming:
             missing = max(missing, 1.0)  # what is up can't serve it: its room is of the wrong kind or in pieces
