Kills go to workers directly too; a direct clear does not make a worker report (measured)

Tried: clearing a settled exit directly to make the worker report at once and take its launch. So kept: direct kills, whose report's response carries the launch they make room for.

--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -280,6 +280,20 @@
                 orders.append(wire.Order(wire.LAUNCH, booking.play, booking.attempt))
         return orders[:MAX_ORDERS]
 
+    def _kill_now(self, machine: Machine) -> None:
+        """Send a machine's kills directly: harmless to repeat or to execute late, since attempts never return.
+
+        The worker reports such a change at once, so that the launch for which room is made rides on that
+        response. (Direct clears do not make it report: tried and measured. Launches are never sent directly.)
+        """
+        orders = [
+            wire.Order(wire.KILL, key[0], key[1], wind_down)
+            for key, wind_down in machine.kills.items() if key in machine.held and machine.held[key].alive
+        ]
+        if orders:
+            body = dumps(wire.Orders(self.token, orders[:MAX_ORDERS], machine.shift))
+            self._fx.worker(machine.addr, "POST", "/orders", body, 2.0, lambda status, body: None)
+
     def _exits_at_once(self, held: Held, wind_down: float) -> bool:
         known = self._book.active.get(held.job)
         if known is None:
@@ -561,6 +575,7 @@
     def launch(self, request: mesh.Launch) -> mesh.LaunchReply:
         """Use reservations after their assignment is durable. Each reservation serves once."""
         refused = []
+        killing: dict[str, Machine] = {}
         current = self._raise_home(request.team, request.home_token)
         by_rid = {rid: machine for machine in self.machines.values() for rid in machine.bookings}
         for start in request.starts:
@@ -583,6 +598,9 @@
                 held = machine.held.get(victim)
                 known = self._book.active.get(held.job) if held else None
                 machine.kills[victim] = known.spec.snapshot_s if known and known.spec.snapshot_every_s > 0 else 0.0
+                killing[machine.name] = machine
+        for machine in killing.values():
+            self._kill_now(machine)
         self._seq += 1
         return mesh.LaunchReply(self.token, self._seq, refused)
 
@@ -590,6 +608,7 @@
         """Kill or clear attempts on behalf of the home's present owner."""
         if not self._raise_home(request.team, request.home_token):
             return
+        killing: dict[str, Machine] = {}
         for name, job, index, attempt, wind_down in request.items:
             machine = self.machines.get(name)
             if machine is None:
@@ -600,6 +619,8 @@
                     machine.clears.add(key)
                 continue
             if key in machine.held:
+                if key not in machine.kills and machine.held[key].alive:
+                    killing[name] = machine
                 machine.kills[key] = min(wind_down, machine.kills.get(key, wind_down))
                 continue
             for booking in machine.open_bookings():
@@ -607,6 +628,8 @@
                     booking.revoked = True
                     if not booking.sends:
                         self._drop_booking(machine, booking)
+        for machine in killing.values():
+            self._kill_now(machine)
 
     def forget(self, name: str) -> None:
         """The machine is gone."""
