--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -38,10 +38,11 @@
         self._progress: dict[str, tuple[int, int]] = {}
         self._gossip: dict[str, tuple[float, wire.Gossip]] = {}
         self._peer_state: dict[str, float] = {}  # peer -> when the state service last served it
-        self.mesh = Mesh(effects, settings.node, list(settings.peers))
-        self.mesh.handler = self._on_mesh
         self.store = StateClient(effects, settings)
         self.ownership = Ownership(effects, settings, self.store)
+        self.mesh = Mesh(effects, settings.node, list(settings.peers), self.ownership.boot)
+        self.mesh.handler = self._on_mesh
+        self.mesh.current_boot = self.ownership.boot_of
         self.ownership.listener = self._on_ownership
         self.book = Book(effects, settings, self.store)
         self.book.listener = self._on_job
--- a/tealhook/mesh/mesh.py
+++ b/tealhook/mesh/mesh.py
@@ -13,21 +13,23 @@
 
 log = logging.getLogger("tealhook.mesh")
 
+MAX_PROCESSES = 256
+
 Answered = Callable[[Any], Any]  # the reply, or None when none came in time
 
 
 class Mesh:
     """`handler(sender, body, reply)` serves requests; `reply` may be called later, or never."""
 
-    def __init__(self, effects: Effects, node: str, peers: list[str]) -> None:
+    def __init__(self, effects: Effects, node: str, peers: list[str], boot: int) -> None:
         self._fx = effects
         self.node = node
         self.peers = peers
-        self._boot = effects.rng.getrandbits(62)
+        self._boot = boot
         self._number = 0
         self._pending: dict[int, Answered] = {}
-        self._latest: dict[str, tuple[int, int]] = {}  # sender -> (boot, number of the newest gossip)
-        self._retired: dict[str, set[int]] = {}
+        self._numbers: dict[tuple[str, int], int] = {}  # (sender, boot) -> number of its newest gossip
+        self.current_boot: Callable[[str], int | None] = lambda peer: None  # as registered, if it is
         self.heard: dict[str, float] = {}
         self.handler: Callable[[str, Any, Callable[[Any], None]], None] = lambda sender, body, reply: None
 
@@ -98,15 +100,17 @@
         self.handler(sender, envelope.body, reply)
 
     def _newest(self, envelope: wire.Envelope) -> bool:
-        """Whether gossip is newer than what was heard; late copies from before a restart are dropped."""
-        boot, number = self._latest.get(envelope.sender, (0, 0))
-        retired = self._retired.setdefault(envelope.sender, set())
-        if envelope.boot in retired:
+        """Whether gossip is newer than what was heard from that process, and that process is the present one.
+
+        Late copies from before one or several restarts must neither count nor shut out what comes after.
+        """
+        current = self.current_boot(envelope.sender)
+        if current is not None and current != envelope.boot:
             return False
-        if envelope.boot != boot:
-            if boot:
-                retired.add(boot)
-        elif envelope.number <= number:
+        key = (envelope.sender, envelope.boot)
+        if envelope.number <= self._numbers.get(key, 0):
             return False
-        self._latest[envelope.sender] = (envelope.boot, envelope.number)
+        if len(self._numbers) > MAX_PROCESSES:
+            self._numbers.clear()
+        self._numbers[key] = envelope.number
         return True
--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -87,7 +87,8 @@
         self.node = settings.node
         self._domain = settings.domain
         self.ttl_s = settings.params.workers.lease_s / 3
-        self._boot = f"{effects.rng.getrandbits(64):016x}"
+        self.boot = effects.rng.getrandbits(62)
+        self._boot = f"{self.boot:x}"
         self._hold: int | None = None
         self._renewed_at = 0.0
         self._registered = False
@@ -135,6 +136,14 @@
         """Registered nodes and their zones."""
         return {key[len(NODE):]: row.domain for key, row in self._rows.items() if key.startswith(NODE)}
 
+    def boot_of(self, node: str) -> int | None:
+        """Which process is registered under a node's name, if one is."""
+        row = self._rows.get(NODE + node)
+        try:
+            return int(row.boot, 16) if row is not None else None
+        except ValueError:
+            return None
+
     def holdings(self) -> dict[str, int]:
         """Our keys and tokens, for the others to hear of."""
         return dict(self._held)
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,25 @@
+"""Gossip: late copies from earlier processes of a peer."""
+
+from tealhook.mesh import Mesh
+from tealhook.wire import mesh as wire
+
+
+def test_gossip_of_a_process_between_does_not_shut_out_the_present_one():
+    """Guards against a fleet that never heard a restarted peer again: gossip of a process that had lived and died
+    behind a cut came late, was taken for the newest, and the present process for an old one."""
+    heard = []
+    mesh = Mesh(type("Fx", (), {"now": staticmethod(lambda: 0.0)})(), "n0", ["n1"], 7)
+    mesh.handler = lambda sender, body, reply: heard.append(body.state_age)
+
+    def gossip(boot: int, number: int) -> None:
+        body = wire.Gossip("n1", float(boot * 100 + number), {})
+        mesh.on_frame(wire.envelope_encoder.encode(wire.Envelope("n1", boot, number, 0, body)))
+
+    gossip(1, 5)
+    mesh.current_boot = lambda peer: 3
+    gossip(3, 1)
+    gossip(2, 9)  # late, from between
+    gossip(1, 6)
+    gossip(3, 2)
+    gossip(3, 2)  # twice
+    assert heard == [105.0, 301.0, 302.0]
