--- a/tealhook/jobs/book.py
+++ b/tealhook/jobs/book.py
@@ -33,16 +33,14 @@
     t: str
     st: str
     s: JobSpec | None = None
-    at: float = 0.0  # time of day of its admission
 
 
 class Known:
     """An active job as its record stands."""
 
-    __slots__ = ("spec", "team", "stamp", "at")
+    __slots__ = ("spec", "team", "stamp")
 
-    def __init__(self, spec: JobSpec, team: str, stamp: int, at: float) -> None:
-        self.at = at
+    def __init__(self, spec: JobSpec, team: str, stamp: int) -> None:
         self.spec = spec
         self.team = team
         self.stamp = stamp
@@ -104,7 +102,7 @@
             return
         known = self.active.get(job)
         if record.s is not None and (known is None or known.stamp < stamp):
-            self.active[job] = Known(record.s, record.t, stamp, record.at)
+            self.active[job] = Known(record.s, record.t, stamp)
             self.listener(job)
 
     def _take(self, path: str, value: Any, stamp: int) -> None:
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -442,8 +442,7 @@
                     count = min(count, max(0, 1 - len(job.attempts)))
                 if count <= 0:
                     continue
-                found.append(_Mappable(home, job, count, secured, now - job.waiting_since > hold_age,
-                                       job.pressure(self._fx.wall())))
+                found.append(_Mappable(home, job, count, secured, now - job.waiting_since > hold_age))
         found.sort(key=lambda m: (m.rank, m.job.stamp))
         return found[:MAX_GROUPS]
 
@@ -919,14 +918,14 @@
 
     __slots__ = ("home", "job", "count", "secured", "aged", "shape", "rank")
 
-    def __init__(self, home: TeamHome, job: Job, count: int, secured: bool, aged: bool, pressure: int) -> None:
+    def __init__(self, home: TeamHome, job: Job, count: int, secured: bool, aged: bool) -> None:
         self.home = home
         self.job = job
         self.count = count
         self.secured = secured
         self.aged = aged
         self.shape = job.shape()
-        self.rank = (-self.shape.urgency, not secured, pressure, not aged)
+        self.rank = (-self.shape.urgency, not secured, not aged)
 
 
 class _Committed:
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -11,8 +11,6 @@
 from tealhook.wire.users import GANG, URGENCY_RANK, JobSpec
 
 LIVE = "live/"
-HOPELESS = 0.5  # of the estimate, which is often wrong by half
-PRESSED = -9.0  # of the time to the deadline: when less is left beyond the estimate, it comes first
 AVOID = 8  # machines on which a job failed lately, not tried again at once
 
 
@@ -55,7 +53,6 @@
         self.spec: JobSpec | None = known.spec if known else None
         self.need = self.spec.need if self.spec else (0.0, 0.0, 0.0)
         self.stamp = known.stamp if known else 0
-        self.at = known.at if known else 0.0
         self.live_stamp = 0
         self.counter = 0  # highest attempt number given out; attempts only grow
         self.plays = self.spec.plays if self.spec else 0
@@ -130,15 +127,6 @@
             self.done[index] = 1
             self.done_count += 1
 
-    def pressure(self, wall: float) -> int:
-        """0: its deadline is near, 1: no deadline or far, 2: it can't be met any more, whatever is done."""
-        if self.spec is None or self.spec.due_s is None or not self.at:
-            return 1
-        slack = self.at + self.spec.due_s - wall - self.spec.expected_s
-        if slack < -HOPELESS * self.spec.expected_s:
-            return 2
-        return 0 if slack < PRESSED * self.spec.due_s else 1
-
     def note_failure(self, machine: str) -> None:
         self.failures += 1
         if machine in self.avoid:
--- a/tealhook/loop/effects.py
+++ b/tealhook/loop/effects.py
@@ -14,14 +14,12 @@
 
 
 class Effects(Protocol):
-    """Clocks (steady, and time of day), chance, timers and calls. An answer of (None, b"") means: none came."""
+    """Clock, chance, timers and calls. An answer of (None, b"") means that none came."""
 
     rng: random.Random
 
     def now(self) -> float: ...
 
-    def wall(self) -> float: ...
-
     def later(self, delay: float, call: Callable[[], Any]) -> Cancellable: ...
 
     def state(self, method: str, target: str, body: bytes | None, timeout: float, answer: Answer) -> None: ...
