--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -15,7 +15,7 @@
 
 from tealhook.jobs.book import CANCELLED, DONE, Book
 from tealhook.loop.effects import Effects
-from tealhook.parts.machine import EPSILON, MAX_RESENDS, Booking, Held, Machine, Need, capacity, fits, slots
+from tealhook.parts.machine import MAX_RESENDS, Booking, Held, Machine, Need, capacity, fits, slots
 from tealhook.settings import Settings
 from tealhook.wire import mesh
 from tealhook.wire import workers as wire
@@ -26,7 +26,6 @@
 log = logging.getLogger("tealhook.parts")
 
 NEVER_S = 1e9
-PATIENCE = 4.0  # report periods that a launch waits for room that was to be free
 MAX_JOBS = 4096
 WORTH_STOPPING = 1.5  # of the run time that a task is stopped for: the most that may be thrown away
 MAX_ORDERS = 300  # keeps a response far below the line limit
@@ -181,7 +180,7 @@
             new.status, new.cause = play.status, play.cause
             held[key] = new
         machine.held = held
-        self._settle_bookings(machine, held, now)
+        self._settle_bookings(machine, held)
         for done in [key for key in machine.kills if key not in held or not held[key].alive]:
             del machine.kills[done]
         machine.clears.intersection_update(held)
@@ -228,7 +227,7 @@
             log.info("%s fails tasks of several jobs: no longer used", machine.name)
             machine.sick = True
 
-    def _settle_bookings(self, machine: Machine, held: dict[tuple[str, int], Held], now: float) -> None:
+    def _settle_bookings(self, machine: Machine, held: dict[tuple[str, int], Held]) -> None:
         for booking in machine.open_bookings():
             if not booking.launching:
                 continue
@@ -237,8 +236,6 @@
                 # start the attempt anew.
                 held[(booking.play, booking.attempt)].booked_at = booking.booked_at
                 del machine.bookings[booking.rid]
-            elif not booking.sends and now - booking.booked_at > PATIENCE * self._workers.report_s:
-                self._drop_booking(machine, booking)  # the task before it goes on; its home places it anew
             elif booking.sends and (booking.revoked or booking.sends >= MAX_RESENDS):
                 # A newer report without it: the response that carried it was dropped for good.
                 self._drop_booking(machine, booking)
@@ -406,10 +403,7 @@
         for machine in usable:
             if not self._allowed(machine, shape):
                 continue
-            room = free[machine.name]
-            if shape.urgency <= URGENCY_RANK["standard"]:
-                room = self._soon_free(machine, room, now)
-            count = slots(room, need)
+            count = slots(free[machine.name], need)
             if machine.has_image(shape.image):
                 cached += count
             else:
@@ -419,26 +413,6 @@
                 next_s = min(next_s, self._frees_in(machine, need, list(free[machine.name]), now))
         return mesh.Room(cached, uncached, next_s, rate or 1.0)
 
-    def _soon_free(self, machine: Machine, free: list[float], now: float) -> list[float]:
-        """Room with what one task leaves that should end within a report period, by its estimate.
-
-        A launch waits at the part for that end and rides on the response to the very report that shows it,
-        instead of one commit and one report period later. One task at a time: estimates are often wrong.
-        """
-        if min(free) < -EPSILON:
-            return free  # somebody waits for it already
-        soonest: tuple[float, Need] | None = None
-        for held in machine.held.values():
-            known = self._book.active.get(held.job)
-            if known is None or held.status != "running" or held.yields_to:
-                continue
-            left = held.ran_from + known.spec.expected_s - now
-            if left <= self._workers.report_s / 2 and (soonest is None or left < soonest[0]):
-                soonest = (left, known.spec.need)
-        if soonest is None:
-            return free
-        return [have + freed for have, freed in zip(free, soonest[1], strict=True)]
-
     def _frees_in(self, machine: Machine, need: Need, free: list[float], now: float) -> float:
         """Estimated seconds until a task of `need` would fit, by the running tasks' own estimates."""
         ends = []
@@ -498,17 +472,6 @@
                     room[i] -= need[i]
             if len(given) >= want.count:
                 return given
-        if not want.preempt and shape.urgency <= URGENCY_RANK["standard"]:
-            for machine in candidates:
-                if len(given) >= want.count:
-                    return given
-                room = self._soon_free(machine, free[machine.name], now)
-                while len(given) < want.count and fits(room, need):
-                    given.append(self._book_room(machine, want, need, [], now))
-                    for i in range(3):
-                        room[i] -= need[i]
-                        if room is not free[machine.name]:
-                            free[machine.name][i] -= need[i]
         self._preempt(want, need, candidates, free, given, now)
         if want.aged and len(given) < want.count:
             self._hold(want, need, candidates, free, now)
