Remove what nothing reads any more; a launch carries its job's id instead of looking it up

No change of behaviour: unread fields (send tick, first report, renewal time, dropped keys), an unused argument and a property, a wrapper of one call, a branch that did nothing, and a search of the machine index for a job that the commit already knows.

--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -385,7 +385,7 @@
         if self._round_on:
             return
         groups = self._groups() if self._store.served else []
-        zones = {zone: owner for zone in self._zones() if (owner := self._own.owner(part_key(zone)))}
+        zones = {zone: owner for zone in self._own.zones() if (owner := self._own.owner(part_key(zone)))}
         if not groups or not zones:
             self._pause = min(self._workers.report_s / 4, self._pause * 1.5)
             self._schedule_round()
@@ -408,9 +408,6 @@
                 lambda reply, zone=zone: answered(zone, reply),
             )
 
-    def _zones(self) -> list[str]:
-        return self._own.zones()
-
     def _groups(self) -> list[_Mappable]:
         now = self._fx.now()
         hold_age = self._policy.value("hold_age_s", self._variables())
@@ -502,7 +499,7 @@
                 left = {z: (v.cached, v.uncached, round(min(v.next_s, 999.0), 1)) for z, v in g.parts.items()}
                 log.debug("round: %s rank %s need %s waits %d of %d; left %s",
                           g.job, g.rank, g.need, g.count, by_job[g.job].count, left)
-        self._reserve(choices, by_job, zones, list(answers), now)
+        self._reserve(choices, by_job, zones, now)
 
     def _may_preempt(self, item: _Mappable, now: float) -> bool:
         """Whether a job may ask for others' tasks to be stopped.
@@ -515,8 +512,7 @@
         return item.secured and now - item.job.waiting_since > self._guarantee_s / 2
 
     def _reserve(
-        self, choices: list[Choice], by_job: dict[str, _Mappable], zones: dict[str, str], open_zones: list[str],
-        now: float,
+        self, choices: list[Choice], by_job: dict[str, _Mappable], zones: dict[str, str], now: float
     ) -> None:
         wants: dict[str, list[tuple[_Mappable, int, Choice]]] = {}
         for choice in choices:
@@ -690,7 +686,7 @@
         return when, [state_wire.put(key, value)], _Committed(home, job, staged, "put")
 
     def _committed(self, batch: list[_Committed], outcome: Outcome, epoch: int, failed: list[str]) -> None:
-        launches: dict[tuple[str, str], list[Attempt]] = {}
+        launches: dict[tuple[str, str], list[tuple[str, Attempt]]] = {}
         for part in batch:
             home, job = part.home, part.job
             job.committing = False
@@ -733,7 +729,7 @@
             job.attempts[attempt.index] = attempt
             self._place(home, job, attempt)
             if job.spec is not None:
-                launches.setdefault((home.team, attempt.zone), []).append(attempt)
+                launches.setdefault((home.team, attempt.zone), []).append((job.id, attempt))
         if job.spec is None:
             self._stop_all(home, job)
         self._clear(home, job)
@@ -814,16 +810,12 @@
 
     # -- launches
 
-    def _launch(self, home: TeamHome, zone: str, attempts: list[Attempt]) -> None:
+    def _launch(self, home: TeamHome, zone: str, attempts: list[tuple[str, Attempt]]) -> None:
         now = self._fx.now()
         by_token: dict[int, list[tuple[str, Attempt]]] = {}
-        for attempt in attempts:
-            job_id = next(
-                (j for t, j, i in self._on_machine.get(attempt.machine, ())
-                 if t == home.team and i == attempt.index and home.jobs[j].attempts.get(i) is attempt),
-                None,
-            )
-            if job_id is not None:
+        for job_id, attempt in attempts:
+            job = home.jobs.get(job_id)
+            if job is not None and job.attempts.get(attempt.index) is attempt:
                 # Its reservation was made before now, so it has expired by then on any clock.
                 attempt.open_until = now + 1.01 * self._workers.lease_s / 4 + 0.1
                 by_token.setdefault(attempt.token, []).append((job_id, attempt))
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -74,10 +74,6 @@
         self.not_before = 0.0
         self.avoid: list[str] = []
 
-    @property
-    def running_job(self) -> bool:
-        return self.spec is not None
-
     @property
     def finished(self) -> bool:
         return self.spec is not None and self.done_count >= self.plays
@@ -193,8 +189,6 @@
                 continue
             if off and (attempt.index, attempt.number) in off:
                 continue
-            if attempt.index < self.plays and self.done[attempt.index]:
-                # Done, but an earlier assignment is still on record: it counts until it is proved off.
-                pass
+            # Even of a done task an assignment on record counts until it is proved off.
             self.attempts[attempt.index] = attempt
         self.loaded = True
--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -48,7 +48,6 @@
     index: int = -1
     attempt: int = 0
     launching: bool = False
-    sent_tick: int = -1  # tick of the report whose response last carried the launch
     sends: int = 0
     revoked: bool = False
 
@@ -68,7 +67,6 @@
         self.shift = report.shift
         self.tick = -1
         self.heard_at = now
-        self.first_at = now
         self.sure = False  # a report under our token has shown what is on it
         self.doomed = False  # the cloud has said that it takes the machine
         self.drained = False
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -152,7 +152,7 @@
             # lacks is provably not there.
             machine.sure = True
             self._take_plays(machine, report.plays or [], now)
-            orders = self._orders(machine, report.tick, now)
+            orders = self._orders(machine)
         self._publish(machine, now)
         return dumps(wire.Orders(self.token, orders))
 
@@ -246,7 +246,7 @@
             if held.yields_to == booking.rid:
                 held.yields_to = 0
 
-    def _orders(self, machine: Machine, tick: int, now: float) -> list[wire.Order]:
+    def _orders(self, machine: Machine) -> list[wire.Order]:
         orders: list[wire.Order] = []
         for key, held in machine.held.items():
             if held.alive and self._book.status(held.job) in (CANCELLED, DONE):
@@ -276,7 +276,6 @@
                 for i in range(3):
                     room[i] -= booking.need[i]
                 booking.sends += 1
-                booking.sent_tick = tick
                 orders.append(wire.Order(wire.LAUNCH, booking.play, booking.attempt))
         return orders[:MAX_ORDERS]
 
--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -90,11 +90,9 @@
         self.boot = effects.rng.getrandbits(62)
         self._boot = f"{self.boot:x}"
         self._hold: int | None = None
-        self._renewed_at = 0.0
         self._registered = False
         self._busy = False
         self._rows: dict[str, _Owned] = {}
-        self._dropped: dict[str, int] = {}
         self._absent_since: dict[str, float] = {}
         self._changed_at = effects.now()  # when the set of live nodes last changed
         self._gave_up_at = -1e9
@@ -236,14 +234,11 @@
         every(self._fx, self.ttl_s / 6, self._claim)
 
     def _new_grant(self) -> None:
-        sent = self._fx.now()
-
         def done(hold: int | None) -> None:
             if hold is None:
                 self._fx.later(0.1 + 0.3 * self._fx.rng.random(), self._new_grant)
                 return
             self._hold = hold
-            self._renewed_at = sent
             self._claim()
             self._fx.later(self.ttl_s / 3, self._renew)
 
@@ -251,7 +246,6 @@
 
     def _renew(self) -> None:
         hold = self._hold
-        sent = self._fx.now()
 
         def done(kind: str) -> None:
             if kind == "ended":
@@ -260,7 +254,6 @@
                 self._new_grant()
                 return
             if kind == "ok":
-                self._renewed_at = sent
                 self._fx.later(self.ttl_s / 3, self._renew)
             else:
                 self._fx.later(self.ttl_s / 12, self._renew)
