--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,517 @@
+"""A whole deployment in virtual time: controllers, stand-ins, network and users, with troubles mixed in.
+
+After each step the rules of the protocol are checked against what the workers really hold.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from tealhook.controller import Controller
+from tealhook.http import Request
+from tealhook.settings import Policy, load_policy
+from tealhook.settings.platform import parse_settings
+from tests.standins import Cloud, StateService, Worker
+
+
+class Broken(AssertionError):
+    """A rule was broken."""
+
+
+def settings_text(node: int, nodes: int, **over: Any) -> str:
+    """A platform file of a small deployment."""
+    values = {"report_s": 1.0, "lease_s": 9.0, "cancel_s": 30.0, "limit": 24.0, "guarantee": 0.0, "wps": 40.0} | over
+    known = "".join(
+        f'[[known]]\nnode = "n{i}"\ndomain = "za"\nendpoint = "10.0.0.{i + 1}:8081"\n'
+        for i in range(nodes) if i != node
+    )
+    teams = "".join(
+        f'[[params.teams]]\nname = "team-{i}"\ncpus = {values["guarantee"]}\ncpus_max = {values["limit"]}\n'
+        for i in range(3)
+    )
+    return f"""
+node = "n{node}"
+domain = "za"
+api_addr = "10.0.0.{node + 1}:8080"
+mesh_addr = "10.0.0.{node + 1}:8081"
+{known}
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+nodes = {nodes}
+zones = ["za", "zb"]
+skew_ms = 250.0
+{teams}
+[params.workers]
+report_s = {values["report_s"]}
+lease_s = {values["lease_s"]}
+cancel_s = {values["cancel_s"]}
+[params.state]
+rps = 150.0
+write_rps = {values["wps"]}
+value_kb = 8.0
+txn_ops = 16
+[params.cloud]
+rps = 2.0
+list_lag_s = 4.0
+"""
+
+
+RIGS = [
+    {"name": "small", "vcpus": 8, "cards": 0, "memory_gb": 32, "local_gb": 20, "pull_gb_per_s": 0.5,
+     "hourly": 0.4, "spot_price": 0.15, "ready_s": 10, "yards": ["za", "zb"]},
+    {"name": "large", "vcpus": 16, "cards": 0, "memory_gb": 64, "local_gb": 30, "pull_gb_per_s": 0.4,
+     "hourly": 0.9, "spot_price": 0.35, "ready_s": 8, "yards": ["zb"]},
+]
+
+
+class _Timer:
+    __slots__ = ("when", "order", "call")
+
+    def __init__(self, when: float, order: int, call: Callable) -> None:
+        self.when, self.order, self.call = when, order, call
+
+    def cancel(self) -> None:
+        self.call = None
+
+    def __lt__(self, other: _Timer) -> bool:
+        return (self.when, self.order) < (other.when, other.order)
+
+
+class SimEffects:
+    """`Effects` of one process: void once the process has ended."""
+
+    def __init__(self, world: World, name: str, life: int) -> None:
+        self.world, self.name, self.life = world, name, life
+        self.rng = random.Random(f"{world.seed}/{name}/{life}")
+        self.drift = 1.0 + self.rng.uniform(0.0, 0.0005)
+
+    @property
+    def alive(self) -> bool:
+        return self.world.lives.get(self.name) == self.life
+
+    def now(self) -> float:
+        return self.world.now * self.drift
+
+    def later(self, delay: float, call: Callable) -> _Timer:
+        return self.world.at(delay / self.drift, lambda: call() if self.alive else None)
+
+    def _guard(self, answer: Callable) -> Callable:
+        return lambda status, body: answer(status, body) if self.alive else None
+
+    def _call(self, timeout: float, answer: Callable, send: Callable[[Callable], None]) -> None:
+        """Gives `answer` what comes in time, else (None, b"")."""
+        done = False
+
+        def once(status: int | None, body: bytes) -> None:
+            nonlocal done
+            if not done and self.alive:
+                done = True
+                answer(status, body)
+
+        self.world.at(timeout, lambda: once(None, b""))
+        send(once)
+
+    def state(self, method, target, body, timeout, answer) -> None:
+        net = self.world.network
+        self._call(timeout, answer, lambda once: net.to_state(self.name, method, target, body, once))
+
+    def cloud(self, method, target, body, timeout, answer) -> None:
+        net = self.world.network
+        self._call(timeout, answer, lambda once: net.to_cloud(method, target, body, once))
+
+    def worker(self, addr, method, target, body, timeout, answer) -> None:
+        self._call(timeout, answer, lambda once: None)
+
+    def mesh(self, peer: str, frame: bytes) -> None:
+        self.world.network.mesh(self.name, peer, frame)
+
+
+class Network:
+    """Delays, losses, cuts that hold packets and deliver them late."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.cuts: set[frozenset[str]] = set()
+        self.held: dict[frozenset[str], list[Callable]] = {}
+        self.hold = True
+        self.lossy = 0.0  # chance that a request to the state service goes wrong
+
+    def cut(self, a: str, b: str) -> None:
+        self.cuts.add(frozenset((a, b)))
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        held, self.held = self.held, {}
+        for calls in held.values():
+            for call in calls:
+                self.world.at(self.world.rng.uniform(0.0, 0.3), call)
+
+    def _pass(self, a: str, b: str, call: Callable, most: float = 0.01) -> None:
+        pair = frozenset((a, b))
+        if pair in self.cuts:
+            if self.hold:
+                self.held.setdefault(pair, []).append(call)
+            return
+        self.world.at(self.world.rng.uniform(0.0005, most), call)
+
+    def to_state(self, node: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        world = self.world
+
+        def arrive() -> None:
+            chance = world.rng.random()
+            if chance < self.lossy / 3:
+                return  # lost on its way
+            if chance < self.lossy * 2 / 3 and method != "GET":
+                # Applied late, long after the sender has given up.
+                world.at(world.rng.uniform(1.0, 40.0), lambda: world.state.handle(
+                    node, method, target, body, lambda status, data: None))
+                return
+            if chance < self.lossy:
+                world.state.handle(node, method, target, body, lambda status, data: None)  # answer lost
+                return
+            world.state.handle(node, method, target, body, lambda status, data: self._pass(
+                node, "state", lambda: answer(status, data)))
+
+        self._pass(node, "state", arrive)
+
+    def to_cloud(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        world = self.world
+
+        def arrive() -> None:
+            lost = world.rng.random() < self.lossy / 3
+            world.cloud.handle(method, target, body, lambda status, data: None if lost else world.at(
+                0.05, lambda: answer(status, data)))
+
+        world.at(world.rng.uniform(0.02, 0.2), arrive)
+
+    def to_node(self, who: str, node: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        world = self.world
+
+        def arrive() -> None:
+            controller = world.nodes.get(node)
+            if controller is None:
+                world.at(0.01, lambda: answer(None, b""))
+                return
+            request = Request(method, target, {}, True)
+            request.body = body or b""
+            life = world.lives[node]
+
+            def reply(status: int, data: bytes = b"{}", retry_after: int | None = None) -> None:
+                if world.lives.get(node) == life:
+                    self._pass(who, node, lambda: answer(status, data))
+
+            controller.on_request(request, reply)
+
+        self._pass(who, node, arrive)
+
+    def mesh(self, sender: str, peer: str, frame: bytes) -> None:
+        def arrive() -> None:
+            controller = self.world.nodes.get(peer)
+            if controller is not None:
+                controller.mesh.on_frame(frame)
+
+        self._pass(sender, peer, arrive)
+
+
+class SimJob:
+    """What the user of a job knows and was told."""
+
+    def __init__(self, spec: dict, wrong: bool) -> None:
+        self.spec = spec
+        self.wrong = wrong
+        self.accepted = False
+        self.final: str | None = None
+        self.cancel_wanted = False
+        self.cancelled_at: float | None = None
+
+
+class World:
+    """Seeded: the same seed gives the same run."""
+
+    def __init__(self, seed: int, nodes: int = 3, policy: Policy | None = None, **over: Any) -> None:
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self._order = 0
+        self._heap: list[_Timer] = []
+        self.names = [f"n{i}" for i in range(nodes)]
+        self._settings = {
+            f"n{i}": parse_settings("settings.toml", settings_text(i, nodes, **over)) for i in range(nodes)
+        }
+        self.settings = self._settings["n0"]
+        self.policy = policy or load_policy(None)
+        self.jobs: dict[str, SimJob] = {}
+        self.finished: set[str] = set()
+        self.starts = 0
+        self.nodes: dict[str, Controller] = {}
+        self.lives: dict[str, int] = {}
+        self._life = 0
+        self.network = Network(self)
+        self.state = StateService(self)
+        self.cloud = Cloud(self, RIGS, 4)
+        for name in self.names:
+            self.start(name)
+        self._every(0.1, self._tick)
+
+    # -- time
+
+    def at(self, delay: float, call: Callable) -> _Timer:
+        self._order += 1
+        timer = _Timer(self.now + max(0.0, delay), self._order, call)
+        heapq.heappush(self._heap, timer)
+        return timer
+
+    def _every(self, period: float, call: Callable) -> None:
+        def step() -> None:
+            call()
+            self.at(period, step)
+
+        self.at(period, step)
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self._heap and self._heap[0].when <= until:
+            timer = heapq.heappop(self._heap)
+            self.now = max(self.now, timer.when)
+            if timer.call is not None:
+                timer.call()
+        self.now = until
+
+    def _tick(self) -> None:
+        self.state.tick()
+        self.cloud.tick()
+        for worker in list(self.cloud.machines.values()):
+            worker.step()
+        self.check()
+
+    # -- processes
+
+    def start(self, name: str) -> None:
+        self._life += 1
+        self.lives[name] = self._life
+        controller = Controller(SimEffects(self, name, self._life), self._settings[name], self.policy)
+        self.nodes[name] = controller
+        controller.start()
+
+    def crash(self, name: str, back: float) -> None:
+        if name in self.nodes:
+            del self.nodes[name]
+            self.lives[name] = -1
+            self.at(back, lambda: self.start(name) if name not in self.nodes else None)
+
+    # -- users
+
+    def ask(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        """One request of a user, to any node that runs."""
+        done = False
+
+        def once(status: int | None, data: bytes) -> None:
+            nonlocal done
+            if not done:
+                done = True
+                answer(status, json.loads(data) if data else {})
+
+        self.network.to_node("users", self.rng.choice(self.names), method, target, body, once)
+        self.at(5.0, lambda: once(None, b""))
+
+    def submit(self, **over: Any) -> str:
+        rng = self.rng
+        job_id = f"req-{len(self.jobs):06d}"
+        spec = {
+            "name_id": job_id, "lineup": "x", "crew": f"team-{rng.randrange(3)}", "shape": "array",
+            "urgency": rng.choice(["urgent", "standard", "standard", "low"]), "plays": rng.randint(1, 8),
+            "vcpus": float(rng.choice([1, 2, 4])), "memory_gb": 4.0, "playbook": f"img-{rng.randrange(3)}",
+            "pull_gb": 0.6, "loaners": rng.random() < 0.7, "expected_s": rng.uniform(1.0, 8.0),
+            "spread": rng.random() < 0.15, "rigs": ["large"] if rng.random() < 0.15 else None,
+            "yard": rng.choice(["za", "zb"]) if rng.random() < 0.15 else None, "together": False,
+        } | over
+        if not spec["spread"] and spec["yard"] is None and rng.random() < 0.15:
+            spec["together"] = True
+        if spec["spread"]:
+            spec["yard"] = spec["rigs"] = None
+        if spec["rigs"] and spec["yard"] == "za":
+            spec["yard"] = None
+        job = self.jobs[job_id] = SimJob(spec, rng.random() < 0.04)
+        body = json.dumps(spec).encode()
+
+        def answered(status: int | None, data: dict) -> None:
+            if status in (200, 201):
+                job.accepted = True
+                self.told(job, data["status"])
+            elif status in (400, 422):
+                raise Broken(f"forgotten: {job_id} got {status}: {data}")
+            else:
+                self.at(1.0, lambda: self.ask("POST", "/work", body, answered))
+
+        self.ask("POST", "/work", body, answered)
+        if rng.random() < 0.2 or job.wrong:
+            self.at(rng.uniform(0.0, 20.0), lambda: self.cancel(job_id))
+        if rng.random() < 0.2:  # a late repeat
+            self.at(rng.uniform(0.0, 60.0), lambda: self.ask("POST", "/work", body, answered))
+        self.at(3.0, lambda: self.poll(job_id))
+        return job_id
+
+    def cancel(self, job_id: str) -> None:
+        job = self.jobs[job_id]
+        job.cancel_wanted = True
+
+        def answered(status: int | None, data: dict) -> None:
+            if status == 200:
+                self.told(job, data["status"])
+                if data["status"] == "cancelled" and job.cancelled_at is None:
+                    job.cancelled_at = self.now
+            else:
+                self.at(1.0, lambda: self.ask("POST", f"/work/{job_id}/abort", None, answered))
+
+        if job.accepted:
+            self.ask("POST", f"/work/{job_id}/abort", None, answered)
+        else:
+            self.at(1.0, lambda: self.cancel(job_id))
+
+    def poll(self, job_id: str) -> None:
+        job = self.jobs[job_id]
+
+        def answered(status: int | None, data: dict) -> None:
+            if status == 200:
+                self.told(job, data["status"])
+            elif status == 404 and job.accepted:
+                raise Broken(f"forgotten: {job_id} got 404")
+            if job.final is None or self.rng.random() < 0.3:
+                self.at(5.0, lambda: self.poll(job_id))
+
+        self.ask("GET", f"/work/{job_id}", None, answered)
+
+    def told(self, job: SimJob, status: str) -> None:
+        job_id = job.spec["name_id"]
+        if job.final is not None and status != job.final:
+            raise Broken(f"went_back: {job_id} was {job.final}, now {status}")
+        if status == "cancelled" and not job.cancel_wanted:
+            raise Broken(f"went_back: {job_id} cancelled by nobody")
+        if status == "done":
+            left = [i for i in range(job.spec["plays"]) if f"{job_id}/{i}" not in self.finished]
+            if left:
+                raise Broken(f"not_done: {job_id} lacks {left}")
+        if status in ("done", "cancelled"):
+            job.final = status
+
+    # -- rules
+
+    def check_start(self, machine: Worker, key: tuple[str, int]) -> None:
+        """A task starts: it holds its image now."""
+        self.starts += 1
+        job_id, _, index = key[0].rpartition("/")
+        job = self.jobs[job_id]
+        spec = job.spec
+        zones: dict[str, int] = {}
+        for other in self.cloud.machines.values():
+            for play, attempt in other.on_machine():
+                if play == key[0] and (other is not machine or attempt != key[1]):
+                    raise Broken(f"ran_twice: {key} on {machine.name}, attempt {attempt} on {other.name}")
+                if play.startswith(job_id + "/"):
+                    zones[other.yard] = zones.get(other.yard, 0) + 1
+        if machine.loaners and not spec["loaners"]:
+            raise Broken(f"wrong_place: {key} on a spot machine")
+        if spec["rigs"] and machine.rig["name"] not in spec["rigs"]:
+            raise Broken(f"wrong_place: {key} on {machine.rig['name']}")
+        if spec["yard"] and machine.yard != spec["yard"]:
+            raise Broken(f"wrong_place: {key} in {machine.yard}")
+        if spec["together"] and len(zones) > 1:
+            raise Broken(f"wrong_place: {key}: together, but in {zones}")
+        if spec["spread"] and max(zones.values()) > (spec["plays"] + 1) // 2:
+            raise Broken(f"wrong_place: {key}: spread, but in {zones}")
+
+    def check(self) -> None:
+        used: dict[str, float] = {}
+        cancel_s = self.settings.params.workers.cancel_s
+        for machine in self.cloud.machines.values():
+            for play, _attempt in machine.on_machine():
+                job = self.jobs[play.rpartition("/")[0]]
+                used[job.spec["crew"]] = used.get(job.spec["crew"], 0.0) + job.spec["vcpus"]
+                if job.cancelled_at is not None and self.now > job.cancelled_at + cancel_s:
+                    raise Broken(f"ran_cancelled: {play} on {machine.name}")
+        for team, cpus in used.items():
+            if cpus > self.settings.params.teams[0].cpus_max + 1e-6:
+                raise Broken(f"quota: {team} uses {cpus}")
+
+    def unfinished(self) -> list[str]:
+        return [job_id for job_id, job in self.jobs.items() if job.final is None]
+
+
+def trouble(world: World) -> None:
+    """One random trouble, and its end some time later."""
+    rng, net = world.rng, world.network
+    workers = [w for w in world.cloud.machines.values() if w.up]
+    kind = rng.randrange(13)
+    span = rng.uniform(2.0, 25.0)
+    if kind == 0:
+        world.crash(rng.choice(world.names), rng.choice([0.2, 3.0, 8.0]))
+    elif kind == 1:
+        for name in world.names:
+            world.crash(name, rng.uniform(0.2, 6.0))
+    elif kind == 2:
+        world.state.outage(True)
+        world.at(span, lambda: world.state.outage(False))
+    elif kind == 3:
+        world.state.refuses = {rng.choice(world.names)}
+        world.at(span, lambda: setattr(world.state, "refuses", set()))
+    elif kind in (4, 5, 6, 7):
+        net.hold = rng.random() < 0.7
+        node = rng.choice(world.names)
+        others = {4: ["state"], 5: world.names, 6: [w.name for w in workers], 7: ["state", *world.names]}[kind]
+        for other in others:
+            if other != node:
+                net.cut(node, other)
+        if kind == 7 and rng.random() < 0.5:
+            for worker in workers:
+                if worker.yard == "za":
+                    net.cut(node, worker.name)
+        world.at(span, net.heal)
+    elif kind == 8:
+        net.lossy = rng.uniform(0.02, 0.15)
+        world.at(span, lambda: setattr(net, "lossy", 0.0))
+    elif kind == 9:
+        world.cloud.down = True
+        world.at(span, lambda: setattr(world.cloud, "down", False))
+    elif kind == 10 and workers:
+        worker = rng.choice(workers)
+        worker.hung = True
+        world.at(rng.uniform(1.0, 8.0), lambda: setattr(worker, "hung", False))
+    elif kind == 11 and workers:
+        for worker in rng.sample(workers, max(1, len(workers) // 3)):
+            if worker.loaners:
+                worker.warning = 4.0
+                world.at(rng.choice([0.0, 4.0]), lambda worker=worker: world.cloud.remove(worker.name))
+            else:
+                worker.fail()
+    elif kind == 12 and workers:
+        rng.choice(workers).sick = True
+
+
+def calm(world: World) -> None:
+    """All troubles end."""
+    world.network.lossy = 0.0
+    world.network.heal()
+    world.state.outage(False)
+    world.state.refuses = set()
+    world.cloud.down = False
+    for worker in world.cloud.machines.values():
+        worker.hung = False
+
+
+def random_run(seed: int, seconds: float = 150.0, jobs: int = 25, **over: Any) -> World:
+    """Jobs and troubles at random times; then calm, in which everything accepted must end."""
+    world = World(seed, **over)
+    for _ in range(jobs):
+        world.at(world.rng.uniform(0.0, seconds * 0.7), world.submit)
+    for _ in range(int(seconds / 8)):
+        world.at(world.rng.uniform(10.0, seconds), lambda: trouble(world))
+    world.run(seconds + 30.0)
+    calm(world)
+    world.run(150.0)
+    return world
