--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -5,8 +5,10 @@
 import math
 from collections import deque
 
+from tealhook.settings.platform import Objective
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.mesh import Demand, Shape
+from tealhook.wire.users import URGENCY_RANK
 
 WINDOW_BOOTS = 4  # lately: so many boots
 
@@ -33,8 +35,34 @@
     return 0.0 if best is math.inf else best
 
 
+class Horizon:
+    """Within what time waiting work of a class should be worked off, by the operators' objectives."""
+
+    def __init__(self, objectives: list[Objective], boot_s: float) -> None:
+        self._boot_s = boot_s
+        self._within: dict[str, float] = {}
+        for objective in objectives:
+            if objective.class_ is None or not objective.within_s or objective.kind != "finished":
+                continue
+            known = self._within.get(objective.class_, math.inf)
+            self._within[objective.class_] = min(known, objective.within_s)
+
+    def seconds(self, lineup: str) -> float:
+        """A third of what the objective allows: the rest is for its boots, its tail and what comes next."""
+        return max(self._boot_s, self._within.get(lineup, WINDOW_BOOTS * 3 * self._boot_s) / 3)
+
+
+def backlog_cpus(types: dict[str, MachineType], demand: Demand, horizon: Horizon) -> float:
+    """CPUs that work off a class's waiting tasks in time; those above standard urgency want room at once."""
+    whole = machine_cpus(types, demand)
+    if demand.shape.urgency > URGENCY_RANK["standard"] or demand.count <= 0:
+        return whole
+    share = min(1.0, max(demand.shape.run_s, 1.0) / horizon.seconds(demand.lineup))
+    return max(whole * share, whole / demand.count)
+
+
 class DemandHistory:
-    """Demand smoothed over several boots, and its peak."""
+    """What was taken lately, smoothed over several boots, and its peak."""
 
     def __init__(self, boot_s: float) -> None:
         self._span = WINDOW_BOOTS * boot_s
@@ -44,15 +72,13 @@
         self._peaks: deque[tuple[float, float]] = deque()
         self._waits: deque[tuple[float, float]] = deque()
 
-    def note(self, now: float, demand: float, urgent: float, waiting: float, patience: float) -> None:
-        if self._at is None:
-            self.mean, self.urgent = demand, urgent
-        else:
+    def note(self, now: float, used: float, urgent: float, waiting: float, patience: float) -> None:
+        if self._at is not None:
             weight = 1.0 - math.exp(-max(0.0, now - self._at) / self._span)
-            self.mean += weight * (demand - self.mean)
+            self.mean += weight * (used - self.mean)
             self.urgent += weight * (urgent - self.urgent)
         self._at = now
-        self._peaks.append((now, demand))
+        self._peaks.append((now, used))
         while self._peaks[0][0] < now - self._span:
             self._peaks.popleft()
         self._waits.append((now, waiting))
@@ -61,7 +87,7 @@
 
     @property
     def peak(self) -> float:
-        return max((demand for _, demand in self._peaks), default=0.0)
+        return max((used for _, used in self._peaks), default=0.0)
 
     @property
     def lasting(self) -> float:
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from tealhook.fleet.demand import DemandHistory, machine_cpus, slots_per_machine
+from tealhook.fleet.demand import DemandHistory, Horizon, backlog_cpus, slots_per_machine
 from tealhook.loop import TokenBucket
 from tealhook.loop.effects import Effects
 from tealhook.mesh import Mesh
@@ -93,6 +93,7 @@
         self._cold = False
         self._calling = 0
         self._types_at = -1e9
+        self._last: tuple[dict, list, list] = ({}, [], [])
 
     def owned(self, token: int | None) -> None:
         """Ownership of the fleet came or went."""
@@ -185,9 +186,10 @@
     def plan(self, boxes: dict[str, mesh_wire.BoxState], usage: list[mesh_wire.Usage],
              demand: list[mesh_wire.Demand]) -> None:
         """Compare what is up with what is wanted; rent or drain. Called with what all nodes tell."""
-        if self._token is None or not self._types or not self._list_ok:
+        if self._token is None or not self._types or not (self._list_ok or self._cold):
             return
         now = self._fx.now()
+        self._last = (boxes, usage, demand)
         self._watch_health(boxes, now)
         self._balance(boxes, usage, demand, now)
 
@@ -304,11 +306,11 @@
         variables = self._variables()
         if self._history is None:
             self._history = DemandHistory(variables["boot_s"])
+        horizon = Horizon(self._settings.params.objectives, variables["boot_s"])
         used = sum(item.cpus for item in usage)
-        waiting = sum(machine_cpus(self._types, item) for item in demand)
-        urgent = sum(machine_cpus(self._types, item) for item in demand if item.shape.urgency > 1)
+        waiting = sum(backlog_cpus(self._types, item, horizon) for item in demand)
         patience = self._settings.params.workers.report_s
-        self._history.note(now, used + waiting, urgent, waiting, patience)
+        self._history.note(now, used, sum(item.urgent for item in usage), waiting, patience)
         variables |= {
             "used": used, "demand": used + waiting, "urgent": self._history.urgent,
             "peak": self._history.peak, "mean": self._history.mean,
@@ -420,7 +422,12 @@
                 # Perhaps executed: repeated under its own name, which can rent nothing twice.
                 self._fx.later(0.5 + self._fx.rng.random(), lambda: self._repeat(rental))
 
-        self._call("POST", "/rentals", dumps(rental), answer)
+        def again(status: int | None, body: bytes) -> None:
+            answer(status, body)
+            if self._renting is None:
+                self._balance(*self._last, self._fx.now())  # the rest, from elsewhere
+
+        self._call("POST", "/rentals", dumps(rental), again)
 
     def _repeat(self, rental: wire.Rental) -> None:
         if self._token is None or self._renting is not rental:
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -21,6 +21,7 @@
 from tealhook.wire import mesh as wire
 from tealhook.wire import state as state_wire
 from tealhook.wire.common import dumps
+from tealhook.wire.users import URGENCY_RANK
 
 log = logging.getLogger("tealhook.jobs")
 
@@ -66,6 +67,10 @@
         self._mesh = mesh
         self._variables = variables
         self._workers = settings.params.workers
+        self._guarantee_s = min(
+            (o.within_s for o in settings.params.objectives if o.kind == "guarantee" and o.within_s),
+            default=settings.params.workers.lease_s / 2,
+        )
         self._teams = {team.name: team for team in settings.params.teams}
         self.homes: dict[str, TeamHome] = {}
         self._on_machine: dict[str, set[tuple[str, str, int]]] = {}  # machine -> (team, job, index)
@@ -474,11 +479,21 @@
             by_job[item.job.id] = item
             groups.append(Group(
                 item.job.id, item.count, item.rank, item.job.spec.pull_gb, item.job.spec.expected_s,
-                item.job.need, parts, item.aged, item.secured or item.shape.urgency > 1, limits,
+                item.job.need, parts, item.aged, self._may_preempt(item, now), limits,
             ))
         choices = plan_round(groups)
         self._reserve(choices, by_job, zones, list(answers), now)
 
+    def _may_preempt(self, item: _Mappable, now: float) -> bool:
+        """Whether a job may ask for others' tasks to be stopped.
+
+        Room frees all the time, and those first in rank get it; to stop a task throws its work away. So a
+        guarantee waits for half of what its objective allows; work above standard urgency does not wait.
+        """
+        if item.shape.urgency > URGENCY_RANK["standard"]:
+            return True
+        return item.secured and now - item.job.waiting_since > self._guarantee_s / 2
+
     def _reserve(
         self, choices: list[Choice], by_job: dict[str, _Mappable], zones: dict[str, str], open_zones: list[str],
         now: float,
@@ -508,7 +523,7 @@
             for item, count, choice in items:
                 request.wants.append(wire.Want(
                     item.job.id, item.home.team, item.shape, count, item.secured, choice.hold and item.aged,
-                    item.job.avoid, item.home.token,
+                    item.job.avoid, item.home.token, choice.hold and choice.group.can_preempt,
                 ))
             self._mesh.call(
                 zones[zone], request, self._workers.report_s / 2, lambda reply, zone=zone: answered(zone, reply)
@@ -840,9 +855,12 @@
         found = []
         for home in self.homes.values():
             taken = home.taken()
-            waiting = sum(job.need[0] * job.waiting() for job in home.jobs.values())
+            urgent = sum(
+                job.need[0] * len(job.attempts) for job in home.jobs.values()
+                if job.spec is not None and URGENCY_RANK[job.spec.urgency] > URGENCY_RANK["standard"]
+            )
             over = max(0.0, taken - home.guarantee) if home.guarantee > 0 else taken
-            found.append(wire.Usage(home.team, taken, waiting, over))
+            found.append(wire.Usage(home.team, taken, urgent, over))
         return found
 
     def demand(self) -> list[wire.Demand]:
--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -26,6 +26,7 @@
     since: float
     ran_from: float = 0.0  # when it was first seen running; 0: not yet
     yields_to: int = 0  # reservation that takes its room
+    booked_at: float = 0.0  # when its room was reserved here; 0: by an earlier owner
 
     @property
     def alive(self) -> bool:
@@ -42,6 +43,7 @@
     need: Need
     image: str
     expires: float
+    booked_at: float
     victims: list[tuple[str, int]] = field(default_factory=list)
     index: int = -1
     attempt: int = 0
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -165,6 +165,11 @@
                         self._rates[machine.rig] = rate + RATE_WEIGHT * (seen - rate)
                 machine.cache(known.spec.playbook, known.spec.pull_gb, rig.local_gb if rig else 0.0)
         if play.status == wire.EXITED:
+            if log.isEnabledFor(logging.DEBUG) and held.booked_at and held.ran_from:
+                log.debug(
+                    "%s %s on %s: launched after %.2f s, pulled %.2f s, ran %.2f s", play.play, play.cause,
+                    machine.name, held.since - held.booked_at, held.ran_from - held.since, now - held.ran_from,
+                )
             if play.cause == "done":
                 machine.failed_jobs.clear()
                 self._job_errors.pop(held.job, None)
@@ -194,6 +199,7 @@
             if (booking.play, booking.attempt) in held:
                 # Seen: from now on the launch is never sent again, since after a `clear` a repeat would
                 # start the attempt anew.
+                held[(booking.play, booking.attempt)].booked_at = booking.booked_at
                 del machine.bookings[booking.rid]
             elif booking.sends and (booking.revoked or booking.sends >= MAX_RESENDS):
                 # A newer report without it: the response that carried it was dropped for good.
@@ -406,8 +412,9 @@
             if self._allowed(machine, shape) and machine.name not in want.avoid
             and not self._blocked(machine, want, now)
         ]
-        # Cached image first, then the fullest machine that fits, as the paper's local mapping packs them.
-        candidates.sort(key=lambda m: (not m.has_image(shape.image), free[m.name][0], m.heard_at))
+        # Cached image first, then the cheaper kind (so that the dearer idles and can be returned), then the
+        # fullest machine that fits, as the paper's local mapping packs them.
+        candidates.sort(key=lambda m: (not m.has_image(shape.image), not m.loaners, free[m.name][0], m.heard_at))
         for machine in candidates:
             room = free[machine.name]
             while len(given) < want.count and fits(room, need):
@@ -426,7 +433,7 @@
     ) -> mesh.Slot:
         self._rid += 1
         booking = Booking(
-            self._rid, want.team, want.job, need, want.shape.image, now + self._workers.lease_s / 4,
+            self._rid, want.team, want.job, need, want.shape.image, now + self._workers.lease_s / 4, now,
             [(held.play, held.attempt) for held in victims],
         )
         for held in victims:
@@ -443,45 +450,57 @@
         given: list[mesh.Slot], now: float,
     ) -> None:
         """Stop less urgent tasks, or tasks beyond another team's guarantee, those begun last first."""
-        if want.shape.urgency <= 0 and not want.secured:
+        if not want.preempt:
             return
-        for machine in candidates:
-            while len(given) < want.count:
+        while len(given) < want.count:
+            best: tuple[float, Machine, list[Held], list[float]] | None = None
+            for machine in candidates:
                 room = list(free[machine.name])
                 victims = self._victims(machine, want, need, room)
-                if victims is None:
-                    break
-                for i in range(3):
-                    free[machine.name][i] = room[i] - need[i]
-                given.append(self._book_room(machine, want, need, victims, now))
+                if not victims:
+                    continue
+                lost = sum(self._lost(held, now) for held in victims)
+                if best is None or lost < best[0]:
+                    best = (lost, machine, victims, room)
+            if best is None:
+                return
+            _lost, machine, victims, room = best
+            for held in victims:
+                known = self._book.active[held.job]
+                if known.team in self._over and URGENCY_RANK[known.spec.urgency] >= want.shape.urgency:
+                    self._over[known.team] -= known.spec.vcpus
+            free[machine.name] = [have - used for have, used in zip(room, need, strict=True)]
+            given.append(self._book_room(machine, want, need, victims, now))
+
+    def _lost(self, held: Held, now: float) -> float:
+        """CPU seconds that stopping a task throws away."""
+        known = self._book.active[held.job]
+        ran = now - held.ran_from if held.ran_from else 0.0
+        if known.spec.snapshot_every_s > 0:
+            ran = known.spec.snapshot_s
+        return (ran + known.spec.pull_gb) * max(known.spec.vcpus, known.spec.cards)
 
     def _victims(self, machine: Machine, want: mesh.Want, need: Need, room: list[float]) -> list[Held] | None:
         """Tasks to stop so that `need` fits; raises `room` accordingly. None: it can't be done."""
         victims: list[Held] = []
-        over = dict(self._over) if want.secured else {}
-        for held in sorted(machine.held.values(), key=lambda h: -(h.ran_from or h.since)):
+        over: dict[str, float] = {}
+        now = self._fx.now()
+        stoppable = [h for h in machine.held.values() if h.alive and not h.yields_to and h.status != "flushing"]
+        stoppable = [h for h in stoppable if h.job in self._book.active]
+        for held in sorted(stoppable, key=lambda h: self._lost(h, now)):
             if fits(room, need):
                 break
-            known = self._book.active.get(held.job)
-            if not held.alive or held.yields_to or known is None or held.status == "flushing":
-                continue
-            lower = URGENCY_RANK[known.spec.urgency] < want.shape.urgency
-            beyond = (
-                want.secured and known.team != want.team
-                and over.get(known.team, 0.0) >= known.spec.vcpus > 0
-            )
-            if not lower and not beyond:
-                continue
-            if beyond and not lower:
+            known = self._book.active[held.job]
+            if URGENCY_RANK[known.spec.urgency] >= want.shape.urgency:
+                # Of equal or higher priority: only what its team runs beyond its guarantee, for a guarantee.
+                left = over.setdefault(known.team, self._over.get(known.team, 0.0))
+                if not want.secured or known.team == want.team or not left >= known.spec.vcpus > 0:
+                    continue
                 over[known.team] -= known.spec.vcpus
             victims.append(held)
             for i in range(3):
                 room[i] += known.spec.need[i]
-        if not fits(room, need):
-            return None
-        if want.secured:
-            self._over.update(over)
-        return victims
+        return victims if fits(room, need) else None
 
     def _hold(
         self, want: mesh.Want, need: Need, candidates: list[Machine], free: dict[str, list[float]], now: float
--- a/tealhook/settings/policy.py
+++ b/tealhook/settings/policy.py
@@ -22,10 +22,10 @@
     "guaranteed": "CPUs guaranteed to all teams together",
     "limit": "CPUs all teams together may use; 0: no limit",
     "used": "CPUs taken by tasks now",
-    "demand": "CPUs taken by tasks or asked for by waiting ones",
-    "urgent": "the part of demand that is urgent or above, smoothed over several boots",
-    "peak": "highest demand within the last few boots",
-    "mean": "demand smoothed over several boots",
+    "demand": "CPUs taken by tasks, and those that would work off the waiting ones in time",
+    "urgent": "CPUs taken by tasks above standard urgency, smoothed over several boots",
+    "peak": "most CPUs taken within the last few boots",
+    "mean": "CPUs taken, smoothed over several boots",
     "machine": "CPUs of the largest type on offer",
 }
 FUNCTIONS: dict[str, Callable[..., float]] = {
@@ -40,7 +40,7 @@
 RULES: dict[str, tuple[str, str, float, float]] = {
     "ready_cpus": (
         "CPUs that the fleet keeps up, taken or not",
-        "max(limit if guaranteed > 0 else 0, 1.1 * mean + 0.6 * urgent + 2 * machine)",
+        "max(limit if guaranteed > 0 else 0, 1.1 * mean + 0.3 * urgent + machine)",
         0.0,
         1e9,
     ),
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -51,6 +51,7 @@
     aged: bool
     avoid: list[str]
     home_token: int
+    preempt: bool
 
 
 class Reserve(msgspec.Struct, tag="reserve"):
@@ -193,9 +194,11 @@
 
 
 class Usage(msgspec.Struct, array_like=True):
+    """What a team's tasks take; `urgent`: the part of it above standard urgency."""
+
     team: str
     cpus: float
-    waiting: float
+    urgent: float
     over: float
 
 
