--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -253,9 +253,9 @@
             return
         match body:
             case wire.Ask():
-                reply(part.ask(body.shapes))
+                reply(part.room.ask(body.shapes))
             case wire.Reserve():
-                reply(part.reserve(body))
+                reply(part.room.reserve(body))
             case wire.Launch():
                 # Reservations are numbered per owner: one made under another token is refused.
                 reply(part.launch(body) if body.token == part.token else wire.LaunchReply(
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -141,11 +141,11 @@
                 lambda team, told: news.append(told), lambda job: None)
     worker = next(w for w in world.cloud.machines.values() if w.name in real.machines)
     plays = [wire.Play("req-000000/0", 1, "running")]
-    part._launched["req-000000"] = ("team-0", (1.0, 0.0, 1.0))
+    part.room.note_launch("req-000000", "team-0", (1.0, 0.0, 1.0))
     part.on_report(wire.Report(worker.name, worker.addr, worker.rig["name"], worker.yard, 1, 999, real.token, True,
                                None, plays))
     shape = mesh.Shape(1.0, 0.0, 1.0, "", 0.0, True, (), 1, 5.0)
-    return news, part.ask([shape]).rooms[0].uncached + part.ask([shape]).rooms[0].cached
+    return news, part.room.ask([shape]).rooms[0].uncached + part.room.ask([shape]).rooms[0].cached
 
 
 def test_only_reports_under_our_token_count(monkeypatch):
