Parts: what inquiries have in common is worked out once while nothing changes

Room left, ends of tasks and news are now kept until a machine changes, and what fits is worked out once for all jobs of one need. Per report period the same answers as before. Ruled out: rounds, commits and gossip, together a tenth.

--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -27,6 +27,7 @@
     ran_from: float = 0.0  # when it was first seen running; 0: not yet
     yields_to: int = 0  # reservation that takes its room
     booked_at: float = 0.0  # when its room was reserved here; 0: by an earlier owner
+    need: Need | None = None  # what it takes; None: nobody here knows its job yet
 
     @property
     def alive(self) -> bool:
@@ -80,6 +81,15 @@
         self.failed_jobs: set[str] = set()
         self.told: dict[str, tuple] = {}  # what each home's owner was last told, and when
         self.hold_for: tuple[str, float] | None = None  # an aged job that holds the room, until when
+        self.exits = False  # some task's end is not settled yet
+        self.news = True  # something changed since the homes were told
+        self.free: list[float] | None = None  # room left, until something changes
+        self.ends: list[tuple[float, Need]] | None = None  # when its tasks should end, until something changes
+
+    def touch(self) -> None:
+        """Something on the machine changed."""
+        self.news = True
+        self.free = self.ends = None
 
     def usable(self, now: float, patience: float) -> bool:
         """Whether a task given now would start within a report period, as far as can be known."""
@@ -110,11 +120,9 @@
 
 def slots(free: list[float], need: Need) -> int:
     """How many tasks of `need` fit into `free`."""
-    count = 1_000_000
-    for have, want in zip(free, need, strict=True):
-        if want > 0:
-            count = min(count, int((have + EPSILON) / want))
-    return max(0, count)
+    if not fits(free, need):
+        return 0
+    return min(int((have + EPSILON) / want) for have, want in zip(free, need) if want > 0)
 
 
 def capacity(rig: MachineType) -> list[float]:
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -117,10 +117,12 @@
         machine.bookings.clear()
         machine.kills.clear()
         machine.clears.clear()
+        self.room.touch(machine)
 
     def _take_plays(self, machine: Machine, plays: list[wire.Play], now: float) -> None:
         before = machine.held
         held: dict[tuple[str, int], Held] = {}
+        changed = len(plays) != len(before)
         for play in plays:
             split = wire.split_play(play.play)
             if split is None:
@@ -130,9 +132,13 @@
             new = old or Held(play.play, split[0], split[1], play.attempt, "", None, now)
             if old is None or old.status != play.status:
                 self._status_change(machine, new, play, now)
+                changed = True
             new.status, new.cause = play.status, play.cause
             held[key] = new
         machine.held = held
+        machine.exits = any(not task.alive for task in held.values())
+        if changed:
+            self.room.touch(machine)
         self._settle_bookings(machine, held)
         for done in [key for key in machine.kills if key not in held or not held[key].alive]:
             del machine.kills[done]
@@ -186,6 +192,7 @@
                 # start the attempt anew.
                 held[(booking.play, booking.attempt)].booked_at = booking.booked_at
                 del machine.bookings[booking.rid]
+                self.room.touch(machine)
             elif booking.sends and (booking.revoked or booking.sends >= MAX_RESENDS):
                 # A newer report without it: the response that carried it was dropped for good.
                 self.room.drop_booking(machine, booking)
@@ -247,7 +254,7 @@
 
     def _publish(self, machine: Machine, now: float, force: str | None = None) -> None:
         """Tell each team's home what is on the machine when that changed, or while it has exits to settle."""
-        if not machine.sure:
+        if not machine.sure or not (machine.news or machine.exits or force):
             return
         teams: dict[str, list[mesh.Seen]] = {}
         unknown = None
@@ -268,6 +275,7 @@
             # Whose task that is nobody here knows: news without it would pass for a proof of its absence.
             self._strangers(unknown)
             return
+        machine.news = False
         for team in sorted(teams.keys() | machine.told.keys() | ({force} if force else set())):
             seen = teams.get(team, [])
             content = (machine.shift, tuple((s.job, s.index, s.attempt, s.status) for s in seen))
@@ -323,6 +331,7 @@
                 refused.append(start.rid)
                 continue
             booking.index, booking.attempt, booking.launching = start.index, start.attempt, True
+            machine.news = True
             self.room.note_launch(booking.job, booking.team, booking.need)
             for victim in booking.victims:
                 held = machine.held.get(victim)
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import OrderedDict
 
 from tealhook.jobs.book import Book
@@ -14,6 +15,7 @@
 from tealhook.wire import mesh
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.users import URGENCY_RANK
+from tealhook.wire.workers import EXITED
 
 NEVER_S = 1e9
 MAX_JOBS = 4096
@@ -21,6 +23,17 @@
 RATE_WEIGHT = 0.2  # of a measured fetch in the rate learned of a type
 
 
+class _Fit:
+    """Where tasks of one need fit: at one moment, for the inquiries of a fraction of a report period."""
+
+    __slots__ = ("open", "next_s", "rate")
+
+    def __init__(self, open_: list[tuple[Machine, int]], next_s: float, rate: float) -> None:
+        self.open = open_  # machines with slots free now
+        self.next_s = next_s
+        self.rate = rate
+
+
 class Room:
     """Free room of one part's machines, and the reservations made of it."""
 
@@ -38,6 +51,11 @@
         self._home_tokens: dict[str, int] = {}
         self._rid = effects.rng.getrandbits(40) << 20
         self._rates: dict[str, float] = {}
+        # Inquiries come several times a report period, from every home, for every waiting job: what they
+        # have in common is worked out once, and kept while nothing changes.
+        self._fits: dict[tuple, _Fit] = {}
+        self._view: list[Machine] = []
+        self._view_until = 0.0
         # Teams and needs of jobs whose tasks were launched here: the book lacks them while we are cut off from
         # the state service, and what a home is told of its tasks must not lack any on that account.
         self._launched: OrderedDict[str, tuple[str, Need]] = OrderedDict()
@@ -62,25 +80,33 @@
         launched = self._launched.get(job)
         return self._book.team(job) or (launched[0] if launched else None)
 
-    def free(self, machine: Machine, booking: Booking | None = None) -> list[float]:
-        """Room left on a machine; tasks that yield to `booking` or to any other one do not count."""
+    def touch(self, machine: Machine) -> None:
+        """Something on a machine changed."""
+        machine.touch()
+        self._view_until = 0.0
+
+    def free(self, machine: Machine) -> list[float]:
+        """Room left on a machine; tasks that yield to a reservation do not count."""
+        if machine.free is not None:
+            return machine.free
         rig = self._types.get(machine.rig)
         if rig is None:
             return [0.0, 0.0, 0.0]
-        free = capacity(rig)
+        cpus, cards, memory = capacity(rig)
         for held in machine.held.values():
-            if not held.alive or held.yields_to:
+            if held.status == EXITED or held.yields_to:
                 continue
-            need = self.need(held.job)
-            if need is None:
-                return [0.0, 0.0, 0.0]  # a task that nobody here knows: give nothing until it is known
-            for i in range(3):
-                free[i] -= need[i]
-        for other in machine.bookings.values():
-            if other is not booking:
-                for i in range(3):
-                    free[i] -= other.need[i]
-        return free
+            if held.need is None:
+                held.need = self.need(held.job)
+                if held.need is None:
+                    return [0.0, 0.0, 0.0]  # a task that nobody here knows: give nothing until it is known
+            need = held.need
+            cpus, cards, memory = cpus - need[0], cards - need[1], memory - need[2]
+        for booking in machine.bookings.values():
+            need = booking.need
+            cpus, cards, memory = cpus - need[0], cards - need[1], memory - need[2]
+        machine.free = [cpus, cards, memory]
+        return machine.free
 
     def rate(self, rig: str) -> float:
         """GB a second at which machines of a type fetch images: measured, else as published."""
@@ -112,6 +138,7 @@
 
     def drop_booking(self, machine: Machine, booking: Booking) -> None:
         machine.bookings.pop(booking.rid, None)
+        self.touch(machine)
         for held in machine.held.values():
             if held.yields_to == booking.rid:
                 held.yields_to = 0
@@ -132,50 +159,69 @@
 
     def ask(self, shapes: list[mesh.Shape]) -> mesh.AskReply:
         """The earliest free time for each shape: slots free now, and when the next one frees."""
-        usable = self._usable()
-        free = {machine.name: self.free(machine) for machine in usable}
-        return mesh.AskReply(self._token, [self._room(shape, usable, free) for shape in shapes])
+        now = self._fx.now()
+        if now > self._view_until:
+            self._view = self._usable()
+            self._fits.clear()
+            self._view_until = now + self._workers.report_s / 8
+        return mesh.AskReply(self._token, [self._room(shape, now) for shape in shapes])
+
+    def _room(self, shape: mesh.Shape, now: float) -> mesh.Room:
+        key = (shape.vcpus, shape.cards, shape.memory_gb, shape.loaners, shape.rigs)
+        fit = self._fits.get(key)
+        if fit is None:
+            fit = self._fits[key] = self._fit(shape, now)
+        cached = uncached = 0
+        image = shape.image
+        for machine, count in fit.open:
+            if not image or image in machine.images:
+                cached += count
+            else:
+                uncached += count
+        return mesh.Room(cached, uncached, fit.next_s, fit.rate or 1.0)
 
-    def _room(self, shape: mesh.Shape, usable: list[Machine], free: dict[str, list[float]]) -> mesh.Room:
+    def _fit(self, shape: mesh.Shape, now: float) -> _Fit:
         need = (shape.vcpus, shape.cards, shape.memory_gb)
-        cached = uncached = 0
+        open_: list[tuple[Machine, int]] = []
         rate = 0.0
         next_s = NEVER_S
-        now = self._fx.now()
-        for machine in usable:
+        for machine in self._view:
             if not self._allowed(machine, shape):
                 continue
-            count = slots(free[machine.name], need)
-            if machine.has_image(shape.image):
-                cached += count
-            else:
-                uncached += count
             rate = max(rate, self.rate(machine.rig))
-            if not count:
-                next_s = min(next_s, self._frees_in(machine, need, list(free[machine.name]), now))
-        return mesh.Room(cached, uncached, next_s, rate or 1.0)
-
-    def _frees_in(self, machine: Machine, need: Need, free: list[float], now: float) -> float:
-        """Estimated seconds until a task of `need` would fit, by the running tasks' own estimates."""
-        ends = []
-        for held in machine.held.values():
-            known = self._book.active.get(held.job)
-            if held.alive and known is not None and not held.yields_to:
-                begun = held.ran_from or now
-                ends.append((max(0.0, begun + known.spec.expected_s - now), known.spec.need))
-        ends.sort()
-        for left, freed in ends:
+            count = slots(self.free(machine), need)
+            if count:
+                open_.append((machine, count))
+            else:
+                next_s = min(next_s, self._frees_in(machine, need, now))
+        return _Fit(open_, next_s, rate)
+
+    def _ends(self, machine: Machine) -> list[tuple[float, Need]]:
+        """When the tasks on a machine should end, by their own estimates, and what each frees."""
+        if machine.ends is None:
+            machine.ends = []
+            for held in machine.held.values():
+                known = self._book.active.get(held.job)
+                if held.alive and known is not None and not held.yields_to:
+                    machine.ends.append(((held.ran_from or held.since) + known.spec.expected_s, known.spec.need))
+            machine.ends.sort()
+        return machine.ends
+
+    def _frees_in(self, machine: Machine, need: Need, now: float) -> float:
+        """Estimated seconds until a task of `need` would fit."""
+        free = list(self.free(machine))
+        for at, freed in self._ends(machine):
             for i in range(3):
                 free[i] += freed[i]
             if fits(free, need):
-                return left + self._workers.report_s / 2
+                return max(0.0, at - now) + self._workers.report_s / 2
         return NEVER_S
 
     def reserve(self, request: mesh.Reserve) -> mesh.ReserveReply:
         """Hold room for wants, in their order, on machines that can start them at once."""
         now = self._fx.now()
         usable = self._usable()
-        free = {machine.name: self.free(machine) for machine in usable}
+        free = {machine.name: list(self.free(machine)) for machine in usable}
         answer: list[list[mesh.Slot]] = []
         for want in request.wants:
             if not self.raise_home(want.team, want.home_token):
@@ -230,6 +276,7 @@
         for held in victims:
             held.yields_to = booking.rid
         machine.bookings[booking.rid] = booking
+        self.touch(machine)
         machine.idle_since = now
         if machine.hold_for is not None and machine.hold_for[0] == want.job:
             machine.hold_for = None
@@ -243,25 +290,40 @@
         """Stop less urgent tasks, or tasks beyond another team's guarantee, those begun last first."""
         if not want.preempt:
             return
-        while len(given) < want.count:
-            best: tuple[float, Machine, list[Held], list[float]] | None = None
-            for machine in candidates:
-                room = list(free[machine.name])
-                victims = self._victims(machine, want, need, room)
-                if not victims:
-                    continue
-                lost = sum(self._lost(held, now) for held in victims)
-                if best is None or lost < best[0]:
-                    best = (lost, machine, victims, room)
-            if best is None:
-                return
-            _lost, machine, victims, room = best
+        # The least loss first. One choice changes its own machine, and what teams still run beyond their
+        # guarantees: so an offer is worked out again when its turn comes, not all of them each time.
+        offers = []
+        for order, machine in enumerate(candidates):
+            offer = self._offer(machine, want, need, free, now)
+            if offer is not None:
+                offers.append((offer[0], order, machine))
+        heapq.heapify(offers)
+        while offers and len(given) < want.count:
+            lost, order, machine = heapq.heappop(offers)
+            offer = self._offer(machine, want, need, free, now)
+            if offer is None:
+                continue
+            if offer[0] > lost and offers and offer[0] > offers[0][0]:
+                heapq.heappush(offers, (offer[0], order, machine))
+                continue
+            _lost, victims, room = offer
             for held in victims:
                 known = self._book.active[held.job]
                 if known.team in self._over and URGENCY_RANK[known.spec.urgency] >= want.shape.urgency:
                     self._over[known.team] -= known.spec.vcpus
             free[machine.name] = [have - used for have, used in zip(room, need, strict=True)]
             given.append(self._book_room(machine, want, need, victims, now))
+            heapq.heappush(offers, (lost, order, machine))
+
+    def _offer(
+        self, machine: Machine, want: mesh.Want, need: Need, free: dict[str, list[float]], now: float
+    ) -> tuple[float, list[Held], list[float]] | None:
+        """Work lost, tasks to stop and the room they leave, if one more of `want` fits a machine so."""
+        room = list(free[machine.name])
+        victims = self._victims(machine, want, need, room)
+        if not victims:
+            return None
+        return sum(self._lost(held, now) for held in victims), victims, room
 
     @staticmethod
     def _ran(held: Held, now: float) -> float:
@@ -309,5 +371,5 @@
                 return
         open_ones = [machine for machine in candidates if machine.hold_for is None]
         if open_ones:
-            best = min(open_ones, key=lambda m: (self._frees_in(m, need, list(free[m.name]), now), m.name))
+            best = min(open_ones, key=lambda m: (self._frees_in(m, need, now), m.name))
             best.hold_for = (want.job, now + 2 * self._workers.report_s)
