--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -50,17 +50,20 @@
     for key in sorted(keys):
         kinds.setdefault(key.rsplit("/", 1)[0] if key != FLEET else FLEET, []).append(key)
     held = dict.fromkeys(nodes, 0)
-    for kind in sorted(kinds):
-        most = -(-len(kinds[kind]) // len(nodes))
+    for kind in sorted(kinds, reverse=True):  # parts first: they are the most work
+        fair, extra = divmod(len(kinds[kind]), len(nodes))
         load = dict.fromkeys(nodes, 0)
+        room = dict.fromkeys(nodes, fair)
+        # Only so many nodes take one more, those that hold least so far: shares may not differ by two.
+        for node in sorted(nodes, key=lambda n: (held[n], _weight(kind, n)))[:extra]:
+            room[node] += 1
 
         def rank(node: str, key: str) -> tuple:
             near = key.startswith(PART) and nodes[node] == key[len(PART):]
-            return (not near, held[node] if key == FLEET else 0, _weight(key, node))
+            return (not near, _weight(key, node))
 
         for key in sorted(kinds[kind], key=lambda k: min(rank(n, k)[0] for n in nodes)):
-            free = [node for node in nodes if load[node] < most]
-            best = min(free, key=lambda node: rank(node, key))
+            best = min((node for node in nodes if load[node] < room[node]), key=lambda node: rank(node, key))
             plan[key] = best
             load[best] += 1
             held[best] += 1
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,23 @@
+"""Who should own what."""
+
+from itertools import combinations
+
+from tealhook.store import FLEET, home_key, part_key
+from tealhook.store.ownership import share_out
+
+
+def test_shares_of_each_kind_differ_by_one_at_most_whoever_lives():
+    """Guards against one node with half of the machines while another had none: up to the rounded-up share
+    of each kind was taken, so that four parts fell on three nodes as two, two and none."""
+    nodes = {f"n{i}": f"z{i % 2}" for i in range(5)}
+    for parts in range(1, 12):
+        keys = [FLEET, *(part_key(f"z{i}") for i in range(parts)), *(home_key(f"team-{i}") for i in range(2 * parts))]
+        for count in range(1, 6):
+            for live in combinations(nodes, count):
+                plan = share_out(keys, {node: nodes[node] for node in live})
+                assert plan.keys() == set(keys)
+                for prefix in ("own/part/", "own/home/"):
+                    shares = [sum(k.startswith(prefix) and n == node for k, n in plan.items()) for node in live]
+                    assert max(shares) - min(shares) <= 1
+                totals = [sum(n == node for n in plan.values()) for node in live]
+                assert max(totals) - min(totals) <= 2
