--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -71,6 +71,11 @@
             (o.within_s for o in settings.params.objectives if o.kind == "guarantee" and o.within_s),
             default=settings.params.workers.lease_s / 2,
         )
+        self._wait_s: dict[str, float] = {}  # class -> within what time its tasks should start
+        for objective in settings.params.objectives:
+            if objective.kind == "wait" and objective.class_ and objective.within_s:
+                known = self._wait_s.get(objective.class_, objective.within_s)
+                self._wait_s[objective.class_] = min(known, objective.within_s)
         self._teams = {team.name: team for team in settings.params.teams}
         self.homes: dict[str, TeamHome] = {}
         self._on_machine: dict[str, set[tuple[str, str, int]]] = {}  # machine -> (team, job, index)
@@ -509,11 +514,13 @@
         """Whether a job may ask for others' tasks to be stopped.
 
         Room frees all the time, and those first in rank get it; to stop a task throws its work away. So a
-        guarantee waits for half of what its objective allows; work above standard urgency does not wait.
+        guarantee waits for half of what its objective allows, and urgent work for a quarter (its launch and
+        fetch are still to come); urgent work without an objective does not wait.
         """
+        waited = now - item.job.waiting_since
         if item.shape.urgency > URGENCY_RANK["standard"]:
-            return True
-        return item.secured and now - item.job.waiting_since > self._guarantee_s / 2
+            return waited >= self._wait_s.get(item.job.spec.lineup, 0.0) / 4
+        return item.secured and waited > self._guarantee_s / 2
 
     def _reserve(
         self, choices: list[Choice], by_job: dict[str, _Mappable], zones: dict[str, str], now: float
