--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -11,6 +11,7 @@
 from tealhook.wire.users import URGENCY_RANK
 
 WINDOW_BOOTS = 2  # lately: so many boots
+LATE_SLACK = 2.0  # by so much more time the objectives would just be met
 URGENT_BOOTS = 0.7  # within so much of a boot, waiting urgent work is to be worked off
 
 
@@ -48,23 +49,25 @@
             known = self._within.get(objective.class_, math.inf)
             self._within[objective.class_] = min(known, objective.within_s)
 
-    def seconds(self, lineup: str, urgent: bool) -> float:
+    def seconds(self, lineup: str, urgent: bool, late: bool = False) -> float:
         """A third of what the objective allows: the rest is for its boots, its tail and what comes next.
 
-        Urgent work that waits for boots anyway is worked off in less than another boot.
+        Urgent work that waits for boots anyway is worked off in less than another boot. `late`: the longest
+        that would do, twice that.
         """
+        slack = LATE_SLACK if late else 1.0
         if urgent:
-            return URGENT_BOOTS * self._boot_s
-        return max(self._boot_s, self._within.get(lineup, 12 * self._boot_s) / 3)
+            return slack * URGENT_BOOTS * self._boot_s
+        return slack * max(self._boot_s, self._within.get(lineup, 12 * self._boot_s) / 3)
 
 
-def backlog_cpus(types: dict[str, MachineType], demand: Demand, horizon: Horizon) -> float:
+def backlog_cpus(types: dict[str, MachineType], demand: Demand, horizon: Horizon, late: bool = False) -> float:
     """CPUs that work off a class's waiting tasks in time."""
     whole = machine_cpus(types, demand)
     if demand.count <= 0:
         return 0.0
     urgent = demand.shape.urgency > URGENCY_RANK["standard"]
-    share = min(1.0, max(demand.shape.run_s, 1.0) / horizon.seconds(demand.lineup, urgent))
+    share = min(1.0, max(demand.shape.run_s, 1.0) / horizon.seconds(demand.lineup, urgent, late))
     return max(whole * share, whole / demand.count)
 
 
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -30,6 +31,7 @@
 USED_SHARE = 0.9
 LATE_BOOT = 2.0  # of ready_s: from then on a starting machine is not counted on
 GOING_ON = 0.75  # of the CPUs taken now that stay taken over the horizon
+DEAR = 1.5  # times the price of a spot machine: an ordinary one is rented only for what presses
 LEAST_PAID_S = 60.0  # the protocol: a machine that is deleted costs at least that
 DEAD_BOOT = 4.0  # of ready_s: from then on it is released
 Option = tuple[str, str, bool]  # type, zone, spot
@@ -96,6 +98,7 @@
         self._asked = 0
         self._refused: dict[Option, tuple[float, float]] = {}  # until when, and the pause it had
         self._drains: dict[str, set[str]] = {}
+        self._surplus: deque[tuple[float, float]] = deque()  # CPUs that were up beyond what was wanted, lately
         self._history: DemandHistory | None = None
         self._began = self._fx.now()
         self._cold = False
@@ -360,8 +363,10 @@
         going_on = max(self._history.mean, GOING_ON * used)
         target = max(ready, going_on + waiting if lasting > 0 else 0.0)
         missing = target - up - coming
+        pressing = max(ready, going_on + self._pressing(demand, horizon) if lasting > 0 else 0.0) - up - coming
         if lasting > 0 and not coming:
-            missing = max(missing, 1.0)  # what is up can't serve it: its room is of the wrong kind or in pieces
+            # What is up can't serve it: its room is of the wrong kind or in pieces.
+            missing, pressing = max(missing, 1.0), max(pressing, 1.0)
         if log.isEnabledFor(logging.DEBUG):
             classes: dict[str, int] = {}
             for item in demand:
@@ -369,9 +374,18 @@
             log.debug("fleet: up %g coming %g used %g waiting %g ready %g; tasks waiting: %s",
                       up, coming, used, waiting, ready, classes)
         if missing > 0 and (self._cold or now - self._began > self._lag):
-            self._rent(missing, demand, spot, up + coming, variables, now)
+            self._rent(missing, pressing, demand, spot, up + coming, variables, now)
         self._drain(boxes, up + coming - max(ready, used + waiting), variables, now)
 
+    def _pressing(self, demand: list[mesh_wire.Demand], horizon: Horizon) -> float:
+        """CPUs without which waiting work would miss its objectives: they are worth a dear machine.
+
+        The rest of what is asked for is room to be early; that pays only where machines are cheap.
+        """
+        return sum(
+            backlog_cpus(self._types, item, horizon, late=item.shape.loaners) for item in demand
+        )
+
     def _options(self, demand: list[mesh_wire.Demand], spot_ok: bool, now: float) -> list[tuple[float, Option]]:
         """What could be rented, cheapest first; what waits decides what is of use."""
         shapes = [(item.shape, item.yard) for item in demand]
@@ -399,7 +413,7 @@
         return options
 
     def _rent(
-        self, missing: float, demand: list[mesh_wire.Demand], spot: float, total: float,
+        self, missing: float, pressing: float, demand: list[mesh_wire.Demand], spot: float, total: float,
         variables: dict[str, float], now: float,
     ) -> None:
         if self._renting is not None:
@@ -407,10 +421,16 @@
         share = self._policy.value("spot_share", variables)
         spot_ok = spot <= share * (total + missing) and share > 0
         options = self._options(demand, spot_ok, now)
-        if not options or not self._bucket.take(1, now, keep=self._bucket.burst / 4):
+        if not options:
             return
         rig_name, zone, loaners = options[0][1]
         rig = self._types[rig_name]
+        if not loaners and rig.spot_price * DEAR < rig.hourly:
+            missing = min(missing, pressing)
+            if missing <= 0:
+                return
+        if not self._bucket.take(1, now, keep=self._bucket.burst / 4):
+            return
         count = max(1, min(wire.MAX_RENT, int(missing / rig.vcpus + 0.75)))
         self._asked += 1
         ask = f"{self._own.node}-{self._token}-{self._asked}"  # the token makes it unique for ever
@@ -476,10 +496,13 @@
     ) -> None:
         """Return what idles beyond the ready room, the dearest first; and machines that fail their tasks."""
         idle_return_s = self._policy.value("idle_return_s", variables)
+        self._surplus.append((now, surplus))
+        while self._surplus[0][0] < now - idle_return_s:
+            self._surplus.popleft()
         prices = [_cpu_price(rig, kind) for rig in self._types.values() for kind in (True, False)]
-        cheapest = min(price for price in prices if price > 0) if any(prices) else 0.0
+        cheapest = min((price for price in prices if price > 0), default=0.0)
         wanted: dict[str, set[str]] = {}
-        idle = []
+        spare = []
         for box in self._boxes.values():
             state = boxes.get(box.name)
             rig = self._types.get(box.rig)
@@ -490,16 +513,18 @@
                 continue
             if state.sick:
                 wanted.setdefault(box.yard, set()).add(box.name)
-            elif not state.doomed:
-                # The dearer a machine, the sooner; but what is paid for anyway is kept that long.
+            elif not state.doomed and now - box.born >= LEAST_PAID_S:  # what is paid for anyway is kept that long
                 price = _cpu_price(rig, box.loaners)
-                patience = idle_return_s * (cheapest / price if price > 0 else 1.0)
-                if state.idle_s >= patience and now - box.born >= LEAST_PAID_S:
-                    idle.append((-price, -state.idle_s, box, rig))
-        for _cost, _idle, box, rig in sorted(idle, key=lambda item: (item[0], item[1], item[2].name)):
-            if surplus < rig.vcpus:
+                spare.append((-price, state.used, -state.idle_s, box.name, box, rig))
+        # The dearest first, and the sooner the dearer. One that still has tasks gets no more of them: otherwise
+        # what is left to do would stay spread thinly over all machines, and none of them would ever be idle.
+        taken = 0.0
+        for cost, _used, _idle, _name, box, rig in sorted(spare):
+            patience = idle_return_s * (cheapest / -cost if cost < 0 else 1.0)
+            lasting = min(spare_cpus for at, spare_cpus in self._surplus if at >= now - patience)
+            if lasting - taken < rig.vcpus or now - self._began < patience:
                 continue
-            surplus -= rig.vcpus
+            taken += rig.vcpus
             wanted.setdefault(box.yard, set()).add(box.name)
         for zone in sorted(wanted.keys() | self._drains.keys()):
             owner = self._own.owner(part_key(zone))
