State budget by homes owned; no rounds while commits wait; machines that do not hear; late copies

Ruled out: processor time (none charged). Now a home's owner has the homes' part of the budget, a round chooses no more jobs than can be made durable, and keys are given up at once. Added rules: a machine whose launches go unseen, or whose lease ends although it was answered, gets nothing more until it hears (/show, or a shift that outlives a lease), and is replaced after two leases; released names are remembered; a machine known from reports without our token is not counted. Rounds leave out parts whose owner can't be reached; keys are given up only to peers that can be; usage stands for four leases while peers refuse.

--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -25,6 +25,7 @@
 
 Reply = Callable[..., Any]
 MAX_ZONES = 256
+USAGE_LEASES = 4.0  # so long the last word of a home's owner stands, while it owns the home
 BEGIN_S = 240.0  # the users' rule: every job begins within four minutes
 
 
@@ -44,6 +45,7 @@
         self.mesh = Mesh(effects, settings.node, list(settings.peers), self.ownership.boot)
         self.mesh.handler = self._on_mesh
         self.mesh.current_boot = self.ownership.boot_of
+        self.ownership.reachable = self.mesh.reachable = self._reachable
         self.ownership.listener = self._on_ownership
         self.book = Book(effects, settings, self.store)
         self.book.listener = self._on_job
@@ -113,6 +115,11 @@
         else:
             reply(200, b"{}")
 
+    def _reachable(self, node: str) -> bool:
+        """Whether a peer was heard of lately. No proof of anything: only where to turn first."""
+        heard = self.mesh.heard.get(node, -1e9)
+        return node == self.mesh.node or self._fx.now() - heard < 2 * self._workers.report_s
+
     # -- who owns what
 
     def _on_ownership(self, key: str, token: int | None) -> None:
@@ -214,11 +221,13 @@
         usage: list[wire.Usage] = []
         demand: list[wire.Demand] = []
         for at, body in self._gossip.values():
-            if now - at > self._workers.lease_s / 2:
+            if now - at > USAGE_LEASES * self._workers.lease_s:
                 continue
             # After a takeover the earlier owner's last word still stands for a while: a team counts once.
             usage.extend(u for u in body.usage if self.ownership.owner(home_key(u.team)) == body.node)
             demand.extend(d for d in body.demand if self.ownership.owner(home_key(d.team)) == body.node)
+            if now - at > self._workers.lease_s / 2:
+                continue  # of what machines do, only what is new; homes that can't tell us still need theirs
             for zone, states in body.boxes.items():
                 zones.add(zone)
                 for state in states:
--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -11,7 +11,7 @@
 from tealhook.wire.users import URGENCY_RANK
 
 WINDOW_BOOTS = 2  # lately: so many boots
-LATE_SLACK = 2.0  # by so much more time the objectives would just be met
+LATE_SLACK = 3.0  # by so much more time the objectives would just be met
 URGENT_BOOTS = 0.7  # within so much of a boot, waiting urgent work is to be worked off
 
 
@@ -53,7 +53,7 @@
         """A third of what the objective allows: the rest is for its boots, its tail and what comes next.
 
         Urgent work that waits for boots anyway is worked off in less than another boot. `late`: the longest
-        that would do, twice that.
+        that would do, thrice that: the whole objective.
         """
         slack = LATE_SLACK if late else 1.0
         if urgent:
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -84,6 +84,7 @@
         self._pause = self._workers.report_s / 8
         self._commit_timer = None
         self._commit_due = 0.0
+        self._behind = False  # something placed waits for tokens to be made durable
         every(effects, self._workers.lease_s / 6, self._look_all)
         every(effects, self._workers.report_s, self._tidy)
         self._schedule_round()
@@ -389,8 +390,12 @@
     def _run_round(self) -> None:
         if self._round_on:
             return
-        groups = self._groups() if self._store.served else []
+        # While assignments wait for tokens, room reserved for more of them would expire before it is used, be
+        # reserved again, and the changes spent on it be lost.
+        groups = self._groups() if self._store.served and not self._behind else []
         zones = {zone: owner for zone in self._own.zones() if (owner := self._own.owner(part_key(zone)))}
+        # Owners that do not answer would hold up each round; those that can be reached go on without them.
+        zones = {zone: owner for zone, owner in zones.items() if self._mesh.reachable(owner)} or zones
         if not groups or not zones:
             self._pause = min(self._workers.report_s / 4, self._pause * 1.5)
             self._schedule_round()
@@ -502,7 +507,7 @@
                 0.0 if item.job.spec.shape == SERVICE else item.job.spec.expected_s,  # free time alone
                 item.job.need, parts, item.aged, self._may_preempt(item, now), limits,
             ))
-        choices = plan_round(groups)
+        choices = self._affordable(plan_round(groups))
         if log.isEnabledFor(logging.DEBUG):
             for g in groups:
                 left = {z: (v.cached, v.uncached, round(min(v.next_s, 999.0), 1)) for z, v in g.parts.items()}
@@ -510,6 +515,17 @@
                           g.job, g.rank, g.need, g.count, by_job[g.job].count, left)
         self._reserve(choices, by_job, zones, now)
 
+    def _affordable(self, choices: list[Choice]) -> list[Choice]:
+        """The first choices, of no more jobs than can be made durable soon: one change each."""
+        most = max(1, self._store.write_room(Priority.ASSIGN))
+        jobs: set[str] = set()
+        for position, choice in enumerate(choices):
+            if not choice.hold:
+                jobs.add(choice.group.job)
+            if len(jobs) > most:
+                return choices[:position]
+        return choices
+
     def _may_preempt(self, item: _Mappable, now: float) -> bool:
         """Whether a job may ask for others' tasks to be stopped.
 
@@ -614,6 +630,7 @@
 
     def _commit(self) -> None:
         self._commit_timer = None
+        self._behind = False
         now = self._fx.now()
         hard: list[tuple[TeamHome, Job]] = []
         soft: list[tuple[TeamHome, Job]] = []
@@ -638,9 +655,11 @@
             self._send_commit(soft, Priority.KEEP)
 
     def _send_commit(self, pairs: list[tuple[TeamHome, Job]], priority: Priority) -> None:
-        room = min(self._store.txn_ops, self._store.write_room(priority))
-        if room < 2:
-            self._commit_soon(max(0.02, self._store.write_wait(2, priority)))
+        room = min(self._store.txn_ops, max(2, self._store.write_room(priority)))
+        wait = self._store.write_wait(2, priority)
+        self._behind = wait > 0 and priority is Priority.ASSIGN
+        if wait > 0:
+            self._commit_soon(max(0.02, wait))
             return
         when: dict[str, int] = {}
         apply: list[dict] = []
@@ -654,7 +673,7 @@
             grown = size + sum(len(dumps(change)) for change in changes) + 60 * len(conditions)
             too_many = len(apply) + len(changes) > room or len(when) + len(conditions) > 4 * self._store.txn_ops
             if batch and (too_many or grown > TXN_BYTES):
-                left = True
+                left = self._behind = True
                 break
             size = grown
             when.update(conditions)
--- a/tealhook/parts/keeper.py
+++ b/tealhook/parts/keeper.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
 from tealhook.jobs.book import Book
-from tealhook.loop.effects import Cancellable, Effects
+from tealhook.loop.effects import Cancellable, Effects, every
 from tealhook.mesh import Mesh
-from tealhook.parts.part import Part
+from tealhook.parts.part import DRIFT, Part
 from tealhook.settings import Settings
 from tealhook.store import Ownership, part_key
 from tealhook.wire import mesh as mesh_wire
@@ -24,7 +25,7 @@
 Reply = Callable[[int, bytes], Any]
 NEVER_S = 1e9
 MAX_TRACKED = 4096
-DRIFT = 1.001  # two steady clocks, each at most 0.05% off
+MAX_GONE = 20_000  # released machines remembered, their names are never used again
 
 
 class _Open:
@@ -59,14 +60,20 @@
         self.over: dict[str, float] = {}
         self._sent_on: dict[str, float] = {}  # machine -> when it was last sent on to the owner
         self._open: dict[str, _Open] = {}  # machine -> its newest report, if not answered yet
+        self._gone: OrderedDict[str, None] = OrderedDict()  # machines that were released
         self._relaying: dict[str, float] = {}  # machine -> since when its reports are relayed
         workers = settings.params.workers
         # Once our view of cancellations is older than this, a task that was cancelled meanwhile must be
         # left to die by its worker's lease: the lease ends at most lease_s after the last report that we
         # answered was sent.
         self._blind_s = workers.cancel_s - DRIFT * workers.lease_s - workers.report_s / 4
+        every(effects, workers.lease_s / 8, self._probe)
         self.on_zone: Callable[[str], Any] = lambda zone: None
 
+    def _probe(self) -> None:
+        for part in self.parts.values():
+            part.probe()
+
     def owned(self, zone: str, token: int | None) -> None:
         """Ownership of a part came or went."""
         self.parts.pop(zone, None)
@@ -80,6 +87,10 @@
             self._flush(name)
 
     def forget(self, machine: str) -> None:
+        """The machine is gone for good."""
+        self._gone[machine] = None
+        while len(self._gone) > MAX_GONE:
+            self._gone.popitem(last=False)
         for part in self.parts.values():
             part.forget(machine)
 
@@ -90,6 +101,9 @@
         except (msgspec.DecodeError, RecursionError) as exc:
             reply(400, error_body(str(exc)))
             return
+        if report.box in self._gone:
+            reply(503, error_body("released"))  # a late copy must not bring it back to life
+            return
         former = self._open.get(report.box)
         if former is not None and (report.shift, report.tick) > (former.report.shift, former.report.tick):
             # The worker has given up on that answer: nothing may ride on it.
--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -71,6 +71,10 @@
         self.tick = -1
         self.heard_at = now
         self.obeys = False  # its newest report was made under our token
+        self.shift_at = now  # when its present shift was first heard of
+        self.answered_at = -1e9  # when a report of its present shift was last answered
+        self.deaf_since: float | None = None  # it reports, but what it is told does not reach it
+        self.probed_at = -1e9
         self.sure = False  # a report under our token has shown what is on it
         self.doomed = False  # the cloud has said that it takes the machine
         self.drained = False
@@ -97,7 +101,7 @@
     def usable(self, now: float, patience: float) -> bool:
         """Whether a task given now would start within a report period, as far as can be known."""
         return (
-            self.sure and not self.doomed and not self.drained and not self.sick
+            self.sure and not (self.doomed or self.drained or self.sick or self.deaf_since is not None)
             and now - self.heard_at <= patience
         )
 
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -26,6 +26,8 @@
 NEVER_S = 1e9
 MAX_ORDERS = 300  # keeps a response far below the line limit
 REPORT_GAP_S = 0.5  # the protocol: a worker never reports more often
+DEAF_LEASES = 2.0  # a machine that has not heard for so many leases is replaced
+DRIFT = 1.001  # two steady clocks, each at most 0.05% off
 ANSWER_S = 4.0  # the protocol: a worker drops answers that come later
 
 
@@ -98,7 +100,12 @@
         if (report.shift, report.tick) <= (machine.shift, machine.tick):
             return False  # held up on its way, or a copy
         if report.shift > machine.shift:
-            self._new_shift(machine, report.shift)
+            if now - machine.answered_at < self._workers.lease_s / 2:
+                # It had been answered when its lease ran out: the answers did not arrive.
+                self._deaf(machine, now)
+            self._new_shift(machine, report.shift, now)
+        elif now - machine.shift_at > DRIFT * self._workers.lease_s + ANSWER_S:
+            machine.deaf_since = None  # the shift has outlived a lease: something of ours arrived
         machine.tick = report.tick
         machine.heard_at = now
         machine.addr = report.addr
@@ -116,6 +123,8 @@
         """The body of a 200 to a machine's newest report; None: it carries nothing."""
         machine = self.machines.get(name) if name is not None else None
         orders = self._orders(machine) if machine is not None and machine.obeys else []
+        if machine is not None:
+            machine.answered_at = self._fx.now()
         return dumps(wire.Orders(self.token, orders))
 
     def patience(self, name: str) -> float:
@@ -126,7 +135,7 @@
         has nothing to report but that it is there.
         """
         machine = self.machines.get(name)
-        if machine is None or not machine.obeys or machine.doomed or machine.drained or machine.sick:
+        if machine is None or not machine.obeys or not machine.usable(self._fx.now(), NEVER_S):
             return 0.0
         if machine.kills or any(b.launching for b in machine.bookings.values()):
             return 0.0  # there is, or will soon be, something to tell it
@@ -136,9 +145,36 @@
         share = 1 / 3 if machine.held else 2 / 3
         return min(ANSWER_S / 2, max(0.9 * REPORT_GAP_S, share * self._workers.report_s))
 
-    def _new_shift(self, machine: Machine, shift: int) -> None:
+    def _deaf(self, machine: Machine, now: float) -> None:
+        """What we tell a machine does not reach it, though its reports come: it gets nothing more until it hears.
+
+        It would swallow every launch, again and again: its reports prove each time that the task is not there.
+        """
+        if machine.deaf_since is None:
+            log.info("%s reports, but does not hear", machine.name)
+            machine.deaf_since = now
+            self.room.touch(machine)
+
+    def probe(self) -> None:
+        """Ask machines that did not hear whether they do now; what reaches them so would reach them otherwise."""
+        now = self._fx.now()
+        for machine in self.machines.values():
+            if machine.deaf_since is None or now - machine.probed_at < self._workers.lease_s / 4:
+                continue
+            machine.probed_at = now
+
+            def shown(status: int | None, _body: bytes, machine: Machine = machine) -> None:
+                if status == 200 and machine.deaf_since is not None:
+                    log.info("%s hears again", machine.name)
+                    machine.deaf_since = None
+
+            self._fx.worker(machine.addr, "GET", "/show", None, 2.0, shown)
+
+    def _new_shift(self, machine: Machine, shift: int, now: float) -> None:
         """The worker's lease ran out: every task of the earlier session is killed and forgotten."""
         machine.shift = shift
+        machine.shift_at = now
+        machine.answered_at = -NEVER_S
         machine.tick = -1
         machine.held.clear()
         machine.bookings.clear()
@@ -224,6 +260,8 @@
             elif booking.sends and (booking.revoked or booking.sends >= MAX_RESENDS):
                 # A newer report without it: the response that carried it was dropped for good.
                 self.room.drop_booking(machine, booking)
+                if not booking.revoked:
+                    self._deaf(machine, self._fx.now())
 
     def _orders(self, machine: Machine) -> list[wire.Order]:
         orders: list[wire.Order] = []
@@ -417,14 +455,18 @@
     def states(self) -> list[mesh.BoxState]:
         """For the fleet's owner."""
         now = self._fx.now()
+        lease_s = self._workers.lease_s
         states = []
         for machine in self.machines.values():
+            if not machine.sure:
+                continue  # known from what may be a late copy: nothing to count on
             rig = self._types.get(machine.rig)
             free = self.room.free(machine)
             used = max(0.0, (rig.vcpus - free[0])) if rig else 0.0
             busy = bool(machine.held or machine.bookings)
             states.append(mesh.BoxState(
                 machine.name, machine.rig, machine.loaners, used, 0.0 if busy else now - machine.idle_since,
-                now - machine.heard_at, machine.doomed, machine.drained and not busy, machine.sick,
+                now - machine.heard_at, machine.doomed, machine.drained and not busy,
+                machine.sick or (machine.deaf_since is not None and now - machine.deaf_since > DEAF_LEASES * lease_s),
             ))
         return states
--- a/tealhook/settings/policy.py
+++ b/tealhook/settings/policy.py
@@ -45,7 +45,9 @@
         0.0,
         1e9,
     ),
-    "idle_return_s": ("seconds a machine beyond that may idle before it is returned", "boot_s", 0.0, 1e6),
+    "idle_return_s": (
+        "seconds for which CPUs beyond that must be spare before their machines are returned", "boot_s / 3", 0.0, 1e6,
+    ),
     "spot_share": ("largest share of the fleet's CPUs that may be spot machines", "1", 0.0, 1.0),
     "hold_age_s": (
         "seconds of waiting after which a task holds room on its best part, and a job not begun goes first",
--- a/tealhook/store/client.py
+++ b/tealhook/store/client.py
@@ -20,6 +20,8 @@
 log = logging.getLogger("tealhook.store")
 
 USED_SHARE = 0.92  # of the budget; the rest allows for other nodes' unevenness and for clock drift
+EVEN_REQUESTS = 0.7  # of the requests are shared evenly, the rest by homes
+EVEN_WRITES = 0.35  # likewise of the changes
 CALL_TIMEOUT_S = 2.0
 
 
@@ -72,12 +74,22 @@
         self._pumping = False
         self.answered_at = -1e9  # when it last served us
         self.failed_at = -1e9
-        self.share(max(1, settings.params.nodes))
+        self.share(max(1, settings.params.nodes), None)
 
-    def share(self, nodes: int) -> None:
-        """Set this node's part of the budgets: it has `nodes` live nodes to share them with."""
+    def share(self, nodes: int, homes: float | None) -> None:
+        """Set this node's part of the budgets.
+
+        It has `nodes` live nodes to share them with, and owns `homes` of all homes (None: nobody owns any). Any
+        node admits and answers, so part of the budgets is shared evenly; assignments are the homes' owners' work.
+        An even share of all would starve one that has taken over the others' homes.
+        """
         now = self._fx.now()
-        rps, wps = self._rps * USED_SHARE / nodes, self._wps * USED_SHARE / nodes
+
+        def part(even: float) -> float:
+            return even / nodes + (1.0 - even) * (1.0 / nodes if homes is None else homes)
+
+        rps = self._rps * USED_SHARE * part(EVEN_REQUESTS)
+        wps = self._wps * USED_SHARE * part(EVEN_WRITES)
         self._requests.set_rate(rps, rps, now)
         self._writes.set_rate(wps, wps, now)
 
--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -104,7 +104,7 @@
         self._wanted.update(part_key(zone) for zone in settings.params.zones)
         self._held: dict[str, int] = {}  # what the listener was told that we own
         self.listener: Callable[[str, int | None], Any] = lambda key, token: None
-        self.may_give_up: Callable[[str], bool] = lambda key: True
+        self.reachable: Callable[[str], bool] = lambda node: True
         self.watcher = Watcher(
             effects, store, OWN, settings.params.workers.lease_s / 12, self._on_rows, self._on_events
         )
@@ -210,7 +210,8 @@
                 self.listener(key, token)
         mine = self._rows.get(NODE + self.node)
         self._registered = mine is not None and mine.boot == self._boot
-        self._store.share(max(1, len(self.live())))
+        homes = [row.node for key, row in self._rows.items() if key.startswith(HOME)]
+        self._store.share(max(1, len(self.live())), homes.count(self.node) / len(homes) if homes else None)
         now = self._fx.now()
         for key in self._wanted | set(self._rows):
             if key in self._rows:
@@ -317,8 +318,10 @@
         if not self.settled or now - self._gave_up_at < self.ttl_s / 2:
             return
         for key, token in list(self._held.items()):
-            if plan.get(key, self.node) != self.node and self.may_give_up(key):
+            if plan.get(key, self.node) != self.node and self.reachable(plan[key]):
                 self._gave_up_at = now
                 log.info("giving up %s to %s", key, plan[key])
-                self._store.txn({key: token}, [wire.drop(key)], Priority.KEEP, lambda outcome, epoch, failed: None)
+                # Not as bookkeeping: that waits while assignments use up the budget, as they do on a node that
+                # has taken over everything, and it would keep everything.
+                self._store.txn({key: token}, [wire.drop(key)], Priority.ADMIT, lambda outcome, epoch, failed: None)
                 return
--- a/tests/world.py
+++ b/tests/world.py
@@ -139,6 +139,8 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.cuts: set[frozenset[str]] = set()
+        self.deaf: set[str] = set()  # machines whose reports arrive, but nothing reaches them
+        self.copies = 0.0  # chance that a copy of a report comes late
         self.held: dict[frozenset[str], list[Callable]] = {}
         self.hold = True
         self.slowest = 0.01  # seconds that a packet may take
@@ -155,6 +157,8 @@
                 self.world.at(self.world.rng.uniform(0.0, 0.3), call)
 
     def _pass(self, a: str, b: str, call: Callable) -> None:
+        if b in self.deaf:
+            return
         pair = frozenset((a, b))
         if pair in self.cuts:
             if self.hold:
@@ -206,11 +210,20 @@
 
             def reply(status: int, data: bytes = b"{}", retry_after: int | None = None) -> None:
                 if world.lives.get(node) == life:
-                    self._pass(who, node, lambda: answer(status, data))
+                    self._pass(node, who, lambda: answer(status, data))
 
             controller.on_request(request, reply)
 
         self._pass(who, node, arrive)
+        if target == "/v1/report" and world.rng.random() < self.copies:
+            def copy() -> None:
+                controller = world.nodes.get(node)
+                if controller is not None:
+                    request = Request(method, target, {}, True)
+                    request.body = body or b""
+                    controller.on_request(request, lambda status, data=b"{}", retry_after=None: None)
+
+            world.at(world.rng.uniform(0.5, 4 * world.settings.params.workers.lease_s), copy)
 
     def to_worker(self, node: str, addr: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         world = self.world
@@ -472,7 +485,7 @@
     """One random trouble, and its end some time later."""
     rng, net = world.rng, world.network
     workers = [w for w in world.cloud.machines.values() if w.up]
-    kind = rng.randrange(13)
+    kind = rng.randrange(16)
     span = rng.uniform(2.0, 25.0)
     if kind == 0:
         world.crash(rng.choice(world.names), rng.choice([0.2, 3.0, 8.0]))
@@ -516,12 +529,28 @@
                 worker.fail()
     elif kind == 12 and workers:
         rng.choice(workers).sick = True
+    elif kind == 13 and workers:  # for less than a lease, for several, for good
+        name = rng.choice(workers).name
+        net.deaf.add(name)
+        world.at(rng.choice([4.0, span, 1e9]), lambda: net.deaf.discard(name))
+    elif kind == 14:
+        net.copies = 0.3
+        world.at(2 * span, lambda: setattr(net, "copies", 0.0))
+    elif kind == 15:
+        net.hold = False
+        for one in world.names:
+            for other in world.names:
+                if one != other:
+                    net.cut(one, other)
+        world.at(span, net.heal)
 
 
 def calm(world: World) -> None:
     """All troubles end."""
     world.network.lossy = 0.0
     world.network.heal()
+    world.network.deaf.clear()
+    world.network.copies = 0.0
     world.state.outage(False)
     world.state.refuses = set()
     world.cloud.down = False
