--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -83,7 +83,7 @@
             # Whether it was accepted earlier comes first: what is known of teams and types may change.
             self._answer_known(spec.name_id, reply, why)
             return
-        record = JobRecord(spec.crew, ACTIVE, spec)
+        record = JobRecord(spec.crew, ACTIVE, spec, round(self._fx.wall(), 1))
         key = job_key(spec.name_id)
 
         def done(outcome: Outcome, epoch: int, _failed: list[str]) -> None:
--- a/tealhook/jobs/book.py
+++ b/tealhook/jobs/book.py
@@ -28,20 +28,22 @@
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
-    """The value of `job/<id>`: team, status, and the submission while it is active."""
+    """The value of `job/<id>`: team, status, and the submission and when it was accepted while it is active."""
 
     t: str
     st: str
     s: JobSpec | None = None
+    at: float = 0.0
 
 
 class Known:
     """An active job as its record stands."""
 
-    __slots__ = ("spec", "team", "stamp")
+    __slots__ = ("spec", "team", "stamp", "at")
 
-    def __init__(self, spec: JobSpec, team: str, stamp: int) -> None:
+    def __init__(self, spec: JobSpec, team: str, stamp: int, at: float) -> None:
         self.spec = spec
+        self.at = at  # when it was accepted, by the time of day
         self.team = team
         self.stamp = stamp
 
@@ -102,7 +104,7 @@
             return
         known = self.active.get(job)
         if record.s is not None and (known is None or known.stamp < stamp):
-            self.active[job] = Known(record.s, record.t, stamp)
+            self.active[job] = Known(record.s, record.t, stamp, record.at)
             self.listener(job)
 
     def _take(self, path: str, value: Any, stamp: int) -> None:
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -76,6 +76,11 @@
             if objective.kind == "wait" and objective.class_ and objective.within_s:
                 known = self._wait_s.get(objective.class_, objective.within_s)
                 self._wait_s[objective.class_] = min(known, objective.within_s)
+        # class -> within what time its jobs should be done at the latest
+        self._done_s = {
+            o.class_: o.within_s for o in sorted(settings.params.objectives, key=lambda o: o.within_s or 0.0)
+            if o.kind == "finished" and o.class_ and o.within_s
+        }
         self._teams = {team.name: team for team in settings.params.teams}
         self.homes: dict[str, TeamHome] = {}
         self._on_machine: dict[str, set[tuple[str, str, int]]] = {}  # machine -> (team, job, index)
@@ -121,7 +126,7 @@
             now = self._fx.now()
             for row in rows:
                 job_id = row.path.rsplit("/", 1)[1]
-                job = Job(job_id, home.team, self._book.active.get(job_id), now)
+                job = self._job(home, job_id, now)
                 try:
                     job.load(row.v, row.stamp, now)
                 except ValueError as exc:
@@ -132,7 +137,7 @@
                     self._place(home, job, attempt)
             for job_id, known in self._book.active.items():
                 if known.team == home.team and job_id not in home.jobs:
-                    home.jobs[job_id] = Job(job_id, home.team, known, now)
+                    home.jobs[job_id] = self._job(home, job_id, now)
                     home.jobs[job_id].loaded = True
             home.ready = True
             log.info("home %s: %d jobs", home.team, len(home.jobs))
@@ -144,6 +149,12 @@
 
         self._store.list(live_key(home.team, ""), done)
 
+    def _job(self, home: TeamHome, job_id: str, now: float) -> Job:
+        """A job as the book knows it. Its age outlasts the processes that look after it."""
+        known = self._book.active.get(job_id)
+        age = self._fx.wall() - known.at if known is not None and known.at > 0 else 0.0
+        return Job(job_id, home.team, known, now - max(0.0, age))
+
     def job_changed(self, job_id: str) -> None:
         """The book has news of a job: submitted, cancelled or done."""
         team = self._book.team(job_id)
@@ -154,7 +165,7 @@
         known = self._book.active.get(job_id)
         if known is not None:
             if job is None:
-                job = home.jobs[job_id] = Job(job_id, team, known, self._fx.now())
+                job = home.jobs[job_id] = self._job(home, job_id, self._fx.now())
                 job.loaded = True
                 self._wake()
             return
@@ -453,10 +464,18 @@
                     continue
                 aged = now - job.waiting_since > hold_age
                 overdue = now - job.since > hold_age and not (job.done_count or job.attempts or job.staged)
-                found.append(_Mappable(home, job, count, secured, aged, overdue))
+                found.append(_Mappable(home, job, count, secured, aged, overdue, self._late(job, now)))
         found.sort(key=lambda m: (m.rank, m.job.stamp))
         return found[:MAX_GROUPS]
 
+    def _late(self, job: Job, now: float) -> bool:
+        """Whether a job can't be done in time any more, so that others which can go before it.
+
+        By the owner's estimate, which is often too high: a quarter of it is not believed.
+        """
+        due = job.spec.due_s or self._done_s.get(job.spec.lineup)
+        return due is not None and now + 0.75 * job.spec.expected_s > job.since + due
+
     def _limits(self, job: Job, zones: list[str]) -> dict[str, int]:
         """Most tasks of a job that may still go to each zone."""
         spec = job.spec
@@ -941,7 +960,9 @@
 
     __slots__ = ("home", "job", "count", "secured", "aged", "overdue", "shape", "rank")
 
-    def __init__(self, home: TeamHome, job: Job, count: int, secured: bool, aged: bool, overdue: bool) -> None:
+    def __init__(
+        self, home: TeamHome, job: Job, count: int, secured: bool, aged: bool, overdue: bool, late: bool
+    ) -> None:
         self.home = home
         self.job = job
         # Min-min alone serves the short and small first, and ranks the urgent. So a job that has waited for
@@ -951,7 +972,7 @@
         self.aged = aged or overdue
         self.overdue = overdue
         self.shape = job.shape()
-        self.rank = (not overdue, -self.shape.urgency, not secured, not self.aged)
+        self.rank = (not overdue, -self.shape.urgency, not secured, late, not self.aged)
 
 
 class _Committed:
--- a/tealhook/runtime.py
+++ b/tealhook/runtime.py
@@ -5,6 +5,7 @@
 import gc
 import logging
 import random
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -29,6 +30,7 @@
         self.loop = Loop()
         self.rng = random.Random()
         self.now = self.loop.now
+        self.wall = time.time
         self._state = HttpClient(self.loop, settings.services.state, max_lines=STATE_LINES)
         self._cloud = HttpClient(self.loop, settings.services.cloud, max_lines=CLOUD_LINES, keep=1)
         self._workers: dict[str, HttpClient] = {}
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -30,7 +30,7 @@
     whole = homes._Mappable.__init__
 
     def unaged(self, *args):
-        whole(self, *args[:-2], False, False)
+        whole(self, *args[:4], False, False, args[6])
 
     monkeypatch.setattr(homes._Mappable, "__init__", unaged)
     assert _flooded().started_at is None
--- a/tests/world.py
+++ b/tests/world.py
@@ -89,6 +89,7 @@
     def __init__(self, world: World, name: str, life: int) -> None:
         self.world, self.name, self.life = world, name, life
         self.rng = random.Random(f"{world.seed}/{name}/{life}")
+        self.skew = self.rng.uniform(-0.25, 0.25)
         self.drift = 1.0 + self.rng.uniform(0.0, 0.0005)
 
     @property
@@ -98,6 +99,9 @@
     def now(self) -> float:
         return self.world.now * self.drift
 
+    def wall(self) -> float:
+        return 1e9 + self.world.now + self.skew
+
     def later(self, delay: float, call: Callable) -> _Timer:
         return self.world.at(delay / self.drift, lambda: call() if self.alive else None)
 
