--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -291,20 +291,20 @@
                 self._on_user(request, lambda status, data=b"{}", after=None: reply(
                     wire.ForwardReply(status, data, after)))
             case wire.Ask() | wire.Reserve() | wire.Launch() | wire.Look() | wire.Stop() | wire.Drain():
-                self._on_part_message(sender, body, reply)
+                self._on_part_message(body, reply)
             case _:
                 reply(wire.No("not a request"))
 
-    def _on_part_message(self, sender: str, body: Any, reply: Callable[[Any], None]) -> None:
+    def _on_part_message(self, body: Any, reply: Callable[[Any], None]) -> None:
         part = self.parts.parts.get(body.zone)
         if part is None:
             reply(wire.No("not the owner"))
             return
         match body:
             case wire.Ask():
-                reply(part.room.ask(body, sender))
+                reply(part.room.ask(body.shapes))
             case wire.Reserve():
-                reply(part.room.reserve(body, sender))
+                reply(part.room.reserve(body))
             case wire.Launch():
                 # Reservations are numbered per owner: one made under another token is refused.
                 reply(part.launch(body) if body.token == part.token else wire.LaunchReply(
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -413,7 +413,6 @@
             return
         self._round_on = True
         shapes = list(dict.fromkeys(group.shape for group in groups))
-        number = {shape: i for i, shape in enumerate(shapes)}
         left = set(zones)
         answers: dict[str, wire.AskReply] = {}
 
@@ -425,13 +424,8 @@
                 self._choose(groups, shapes, zones, answers)
 
         for zone, owner in zones.items():
-            claims = []
-            for item in groups:
-                count = min(item.count, self._limits(item.job, [zone]).get(zone, item.count))
-                if count > 0 and not item.job.gang:
-                    claims.append(wire.Claim(number[item.shape], count, item.order))
             self._mesh.call(
-                owner, wire.Ask(zone, shapes, claims, len(zones)), self._workers.report_s / 2,
+                owner, wire.Ask(zone, shapes), self._workers.report_s / 2,
                 lambda reply, zone=zone: answered(zone, reply),
             )
 
@@ -594,7 +588,7 @@
                 request.wants.append(wire.Want(
                     item.job.id, item.home.team, item.shape, count, item.secured, choice.hold and item.aged,
                     item.job.avoid, item.home.token, choice.hold and choice.group.can_preempt,
-                    item.order, item.overdue,
+                    item.overdue,
                 ))
             self._mesh.call(
                 zones[zone], request, self._workers.report_s / 2, lambda reply, zone=zone: answered(zone, reply)
@@ -964,7 +958,7 @@
 class _Mappable:
     """A job's tasks that may be placed in this round."""
 
-    __slots__ = ("home", "job", "count", "secured", "aged", "overdue", "shape", "rank", "order")
+    __slots__ = ("home", "job", "count", "secured", "aged", "overdue", "shape", "rank")
 
     def __init__(
         self, home: TeamHome, job: Job, count: int, secured: bool, aged: bool, overdue: bool, late: bool
@@ -979,7 +973,6 @@
         self.overdue = overdue
         self.shape = job.shape()
         self.rank = (not overdue, -self.shape.urgency, not secured, late, not self.aged)
-        self.order = (*map(float, self.rank), self.shape.run_s)  # among homes: rank, then about what finishes first
 
 
 class _Committed:
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -26,27 +26,14 @@
 class _Fit:
     """Where tasks of one need fit: at one moment, for the inquiries of a fraction of a report period."""
 
-    __slots__ = ("open", "slots", "next_s", "rate")
+    __slots__ = ("open", "next_s", "rate")
 
     def __init__(self, open_: list[tuple[Machine, int]], next_s: float, rate: float) -> None:
         self.open = open_  # machines with slots free now
-        self.slots = sum(count for _machine, count in open_)
         self.next_s = next_s
         self.rate = rate
 
 
-class _Asked:
-    """What a node's homes last asked for here."""
-
-    __slots__ = ("at", "shapes", "claims", "parts")
-
-    def __init__(self, at: float, request: mesh.Ask) -> None:
-        self.at = at
-        self.shapes = request.shapes
-        self.claims = sorted(request.claims, key=lambda claim: claim.order)
-        self.parts = max(1, request.parts)
-
-
 class Room:
     """Free room of one part's machines, and the reservations made of it."""
 
@@ -67,7 +54,6 @@
         # Inquiries come several times a report period, from every home, for every waiting job: what they
         # have in common is worked out once, and kept while nothing changes.
         self._fits: dict[tuple, _Fit] = {}
-        self._asked: dict[str, _Asked] = {}  # node -> its last inquiry
         self._view: list[Machine] = []
         self._view_until = 0.0
         # Teams and needs of jobs whose tasks were launched here: the book lacks them while we are cut off from
@@ -171,46 +157,20 @@
             return False
         return not shape.rigs or machine.rig in shape.rigs
 
-    def ask(self, request: mesh.Ask, node: str) -> mesh.AskReply:
+    def ask(self, shapes: list[mesh.Shape]) -> mesh.AskReply:
         """The earliest free time for each shape: slots free now, and when the next one frees."""
         now = self._fx.now()
-        self._asked[node] = _Asked(now, request)
-        self._look(now)
-        return mesh.AskReply(self._token, [self._room(shape, now) for shape in request.shapes])
-
-    def _look(self, now: float) -> None:
-        """Begin a new view of the machines when the last one is out of date."""
         if now > self._view_until:
             self._view = self._usable()
             self._fits.clear()
             self._view_until = now + self._workers.report_s / 8
+        return mesh.AskReply(self._token, [self._room(shape, now) for shape in shapes])
 
-    def _fitting(self, shape: mesh.Shape, now: float) -> _Fit:
+    def _room(self, shape: mesh.Shape, now: float) -> mesh.Room:
         key = (shape.vcpus, shape.cards, shape.memory_gb, shape.loaners, shape.rigs)
         fit = self._fits.get(key)
         if fit is None:
             fit = self._fits[key] = self._fit(shape, now)
-        return fit
-
-    def _withheld(self, node: str, order: tuple[float, ...], now: float) -> float:
-        """CPUs free here that tasks of other nodes' homes could use and that go before `order`.
-
-        Each node's homes choose by min-min among their own tasks only. Without this, what comes last there takes
-        room that another node's first tasks wait for, since whoever asks first gets it.
-        """
-        withheld = 0.0
-        for other, asked in self._asked.items():
-            if other == node or now - asked.at > self._workers.report_s / 2:
-                continue
-            for claim in asked.claims:
-                if claim.order >= order:
-                    break
-                shape = asked.shapes[claim.shape]
-                withheld += shape.vcpus * min(-(-claim.count // asked.parts), self._fitting(shape, now).slots)
-        return withheld
-
-    def _room(self, shape: mesh.Shape, now: float) -> mesh.Room:
-        fit = self._fitting(shape, now)
         cached = uncached = 0
         image = shape.image
         for machine, count in fit.open:
@@ -257,10 +217,9 @@
                 return max(0.0, at - now) + self._workers.report_s / 2
         return NEVER_S
 
-    def reserve(self, request: mesh.Reserve, node: str) -> mesh.ReserveReply:
+    def reserve(self, request: mesh.Reserve) -> mesh.ReserveReply:
         """Hold room for wants, in their order, on machines that can start them at once."""
         now = self._fx.now()
-        self._look(now)
         usable = self._usable()
         free = {machine.name: list(self.free(machine)) for machine in usable}
         answer: list[list[mesh.Slot]] = []
@@ -268,7 +227,7 @@
             if not self.raise_home(want.team, want.home_token):
                 answer.append([])
                 continue
-            answer.append(self._give(want, usable, free, node, now))
+            answer.append(self._give(want, usable, free, now))
         return mesh.ReserveReply(self._token, answer)
 
     def _blocked(self, machine: Machine, want: mesh.Want, now: float) -> bool:
@@ -280,7 +239,7 @@
         return hold[0] != want.job and not want.aged
 
     def _give(
-        self, want: mesh.Want, usable: list[Machine], free: dict[str, list[float]], node: str, now: float
+        self, want: mesh.Want, usable: list[Machine], free: dict[str, list[float]], now: float
     ) -> list[mesh.Slot]:
         shape = want.shape
         need = (shape.vcpus, shape.cards, shape.memory_gb)
@@ -293,20 +252,14 @@
         # Cached image first, then the cheaper kind (so that the dearer idles and can be returned), then the
         # fullest machine that fits, as the paper's local mapping packs them.
         candidates.sort(key=lambda m: (not m.has_image(shape.image), not m.loaners, free[m.name][0], m.heard_at))
-        most = want.count
-        withheld = self._withheld(node, want.order, now) if need[0] > 0 else 0.0
-        if withheld > 0:
-            most = min(most, int((sum(free[machine.name][0] for machine in candidates) - withheld) / need[0]))
         for machine in candidates:
             room = free[machine.name]
-            while len(given) < most and fits(room, need):
+            while len(given) < want.count and fits(room, need):
                 given.append(self._book_room(machine, want, need, [], now))
                 for i in range(3):
                     room[i] -= need[i]
             if len(given) >= want.count:
                 return given
-            if len(given) >= most:
-                break
         self._preempt(want, need, candidates, free, given, now)
         if want.aged and len(given) < want.count:
             self._hold(want, need, candidates, free, now)
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -28,21 +28,11 @@
     rate: float
 
 
-class Claim(msgspec.Struct, array_like=True):
-    """What waits behind an inquiry: `count` tasks of the inquiry's shape number `shape`; `order`: lower goes first."""
-
-    shape: int
-    count: int
-    order: tuple[float, ...]
-
-
 class Ask(msgspec.Struct, tag="ask"):
-    """Inquiry for a part's earliest free time, made at `parts` parts at once."""
+    """Inquiry for a part's earliest free time."""
 
     zone: str
     shapes: list[Shape]
-    claims: list[Claim]
-    parts: int
 
 
 class AskReply(msgspec.Struct, tag="ask_r"):
@@ -62,7 +52,6 @@
     avoid: list[str]
     home_token: int
     preempt: bool
-    order: tuple[float, ...]  # as in claims
     firm: bool  # not to be stopped for others: the first task of a job that has waited for long
 
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -145,7 +145,7 @@
     part.on_report(wire.Report(worker.name, worker.addr, worker.rig["name"], worker.yard, 1, 999, real.token, True,
                                None, plays))
     shape = mesh.Shape(1.0, 0.0, 1.0, "", 0.0, True, (), 1, 5.0)
-    room = part.room.ask(mesh.Ask(part.zone, [shape], [], 1), "n0").rooms[0]
+    room = part.room.ask([shape]).rooms[0]
     return news, room.uncached + room.cached
 
 
