--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -27,6 +28,7 @@
 
 MAX_GROUPS = 48  # jobs looked at in one round
 TXN_BYTES = 56 * 1024  # of the 64 KiB that a transaction may have
+SIZE_STEPS = 1.5  # steps in which the work left of jobs is compared, for each doubling of it
 PATIENT_FAILURES = 3  # failures in a row before a job is tried one task at a time
 
 
@@ -431,7 +433,8 @@
 
     def _groups(self) -> list[_Mappable]:
         now = self._fx.now()
-        hold_age = self._policy.value("hold_age_s", self._variables())
+        variables = self._variables()
+        hold_age, begin = self._policy.value("hold_age_s", variables), variables["begin_s"]
         found: list[_Mappable] = []
         for home in self.homes.values():
             if not home.ready:
@@ -441,6 +444,7 @@
                 home.gpus_limit - home.taken(1) if home.gpus_limit > 0 else 1e9,
             ]
             secured_left = home.guarantee
+            oldest = True
             for job in sorted(home.jobs.values(), key=lambda j: j.stamp):
                 if job.spec is None or job.finished:
                     continue
@@ -464,6 +468,8 @@
                     continue
                 aged = now - job.waiting_since > hold_age
                 overdue = now - job.since > hold_age and not (job.done_count or job.attempts or job.staged)
+                if oldest and now - job.since > begin:
+                    overdue, oldest = True, False
                 found.append(_Mappable(home, job, count, secured, aged, overdue, self._late(job, now)))
         found.sort(key=lambda m: (m.rank, m.job.stamp))
         return found[:MAX_GROUPS]
@@ -725,8 +731,9 @@
             return when, [state_wire.drop(key)], _Committed(home, job, [], "drop")
         value = job.encode()
         while len(dumps(value)) > self._store.value_bytes * 0.97 and job.staged:
-            index, _attempt = job.staged.popitem()  # its reservation expires by itself
-            job.give_back(index, self._fx.now())
+            for _ in range(1 + len(job.staged) // 8):
+                index, _attempt = job.staged.popitem()  # its reservation expires by itself
+                job.give_back(index, self._fx.now())
             value = job.encode()
         staged = list(job.staged.values())
         if staged:
@@ -966,13 +973,18 @@
         self.home = home
         self.job = job
         # Min-min alone serves the short and small first, and ranks the urgent. So a job that has waited for
-        # long and has not begun at all goes before everything else, with one task (a gang with all).
+        # long and has not begun at all goes before everything else, with one task (a gang with all); likewise
+        # a team's oldest job once it is older than every job should be before it begins.
         self.count = 1 if overdue and not job.gang else count
         self.secured = secured
         self.aged = aged or overdue
         self.overdue = overdue
         self.shape = job.shape()
-        self.rank = (not overdue, -self.shape.urgency, not secured, late, not self.aged)
+        # Users count jobs done in time, not tasks: so what is left of the whole job comes before min-min's order
+        # of single tasks, in steps wide enough that min-min still chooses among jobs of about one size.
+        work = job.waiting() * max(job.need[0], job.need[1]) * max(1.0, self.shape.run_s)
+        size = int(SIZE_STEPS * math.log2(1.0 + work))
+        self.rank = (not overdue, -self.shape.urgency, not secured, late, not self.aged, size)
 
 
 class _Committed:
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -145,7 +145,11 @@
     # -- the durable record
 
     def encode(self) -> dict:
-        """The value of `live/<team>/<id>`, compact: done as ranges, assignments by machine."""
+        """The value of `live/<team>/<id>`, compact: done as ranges, assignments as runs by part and machine.
+
+        Compact since a record has its limit, and what does not fit can't be assigned: the largest jobs would never
+        get their width. Tasks placed together have consecutive numbers and attempts.
+        """
         ranges = []
         start = self.done.find(1)
         while start >= 0:
@@ -154,11 +158,15 @@
                 end = len(self.done)
             ranges.append([start, end - 1])
             start = self.done.find(1, end)
-        machines: dict[str, list] = {}
-        for group in (self.attempts, self.staged):
-            for a in group.values():
-                machines.setdefault(f"{a.machine} {a.shift} {a.zone} {a.token}", []).append([a.index, a.number])
-        return {"q": list(self.need), "c": self.counter, "d": ranges, "m": machines}
+        parts: dict[str, dict[str, list[list[int]]]] = {}
+        for a in sorted([*self.attempts.values(), *self.staged.values()], key=lambda a: a.index):
+            machines = parts.setdefault(f"{a.zone} {a.token}", {})
+            runs = machines.setdefault(f"{a.machine} {a.shift}", [])
+            if runs and (a.index, a.number) == (runs[-1][0] + runs[-1][2], runs[-1][1] + runs[-1][2]):
+                runs[-1][2] += 1
+            else:
+                runs.append([a.index, a.number, 1])
+        return {"q": list(self.need), "c": self.counter, "d": ranges, "m": parts}
 
     def load(self, value: Any, stamp: int, now: float, off: set[tuple[int, int]] | None = None) -> None:
         """Take over a durable record; raises ValueError when it is not one.
@@ -170,10 +178,15 @@
             counter = int(value["c"])
             ranges = [(int(first), int(last)) for first, last in value["d"]]
             found: list[Attempt] = []
-            for place, tasks in value["m"].items():
-                machine, shift, zone, token = place.split(" ")
-                for index, number in tasks:
-                    found.append(Attempt(int(index), int(number), machine, int(shift), zone, int(token), now))
+            for part, machines in value["m"].items():
+                zone, token = part.split(" ")
+                for place, runs in machines.items():
+                    machine, shift = place.split(" ")
+                    for index, number, count in runs:
+                        for i in range(int(count)):
+                            found.append(Attempt(
+                                int(index) + i, int(number) + i, machine, int(shift), zone, int(token), now
+                            ))
         except (KeyError, TypeError, ValueError, AttributeError) as exc:
             raise ValueError(f"bad live record of {self.id}: {exc}") from None
         if self.spec is None and len(need) == 3:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -41,6 +41,16 @@
     assert [(c.zone, c.count) for c in plan_round([g])] == [("x", 2), ("y", 3)]
 
 
+def test_only_one_task_waits_for_a_parts_next_room():
+    """Guards against free room left lying while every group waited, with all its tasks, for the same slot."""
+    groups = [
+        group(job, 4, {"x": view(next_s=0.5, factor=-0.5), "y": view(uncached=20)}) for job in ("a", "b", "c")
+    ]
+    choices = plan_round(groups)
+    assert sum(c.count for c in choices if c.zone == "y") == 11
+    assert [(c.zone, c.count) for c in choices if c.hold] == [("x", 1)]
+
+
 def test_a_part_that_disappoints_is_passed_over():
     g = group("a", 1, {"x": view(cached=1, factor=0.9), "y": view(uncached=1)})
     assert plan_round([g])[0].zone == "y"
