--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,6 +4,7 @@
 from tealhook.fleet import FleetKeeper
 from tealhook.jobs.admission import Admission
 from tealhook.jobs.homes import HomeKeeper, TeamHome
+from tealhook.jobs.rounds import Rounds
 from tealhook.parts.keeper import PartKeeper
 from tealhook.parts.part import Part
 from tealhook.store import Outcome, StateClient
@@ -57,7 +58,7 @@
 
 
 def _no_places(patch):
-    patch.setattr(HomeKeeper, "_limits", lambda self, job, zones: {})
+    patch.setattr(Rounds, "_limits", lambda self, job, zones: {})
 
 
 def _silence_is_proof(patch):
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -1,6 +1,6 @@
 """Rounds: nobody is starved."""
 
-from tealhook.jobs import homes
+from tealhook.jobs import rounds
 from tests.world import SimJob, World
 
 ALIKE = {"plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True, "pull_gb": 0.6}
@@ -27,10 +27,10 @@
 
 
 def test_without_ageing_it_would_not(monkeypatch):
-    whole = homes._Mappable.__init__
+    whole = rounds.Mappable.__init__
 
     def unaged(self, *args):
         whole(self, *args[:4], False, False, args[6])
 
-    monkeypatch.setattr(homes._Mappable, "__init__", unaged)
+    monkeypatch.setattr(rounds.Mappable, "__init__", unaged)
     assert _flooded().started_at is None
