--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -100,7 +100,7 @@
     break_it(monkeypatch)
     for seed in range(SEEDS):
         try:
-            random_run(seed, guarantee=0.0, slowest=0.25 if seed % 2 else 0.01)
+            random_run(seed, guarantee=0.0, slowest=0.25 if seed % 2 else 0.01, lossy=0.3 if seed % 4 > 1 else 0.0)
         except Broken as broken:
             if str(broken).startswith(rule):
                 return
--- a/tests/world.py
+++ b/tests/world.py
@@ -567,10 +567,12 @@
         worker.hung = False
 
 
-def random_run(seed: int, seconds: float = 150.0, jobs: int = 25, slowest: float = 0.01, **over: Any) -> World:
+def random_run(
+    seed: int, seconds: float = 150.0, jobs: int = 25, slowest: float = 0.01, lossy: float = 0.0, **over: Any
+) -> World:
     """Jobs and troubles at random times; then calm, in which everything accepted must end."""
     world = World(seed, **over)
-    world.network.slowest = slowest
+    world.network.slowest, world.network.lossy = slowest, lossy
     for _ in range(jobs):
         world.at(world.rng.uniform(0.0, seconds * 0.7), world.submit)
     for _ in range(int(seconds / 8)):
