--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -150,7 +150,10 @@
     jobs = [
         world.submit(crew=f"team-{team}", plays=2, vcpus=1.0, expected_s=3.0, **ALIKE) for team in range(3)
     ]
+    cancelled = world.submit(crew="team-0", plays=2, vcpus=1.0, expected_s=100.0, **ALIKE)
+    world.at(5.0, lambda: world.cancel(cancelled))
     world.run(45.0)
+    assert world.jobs[cancelled].final == "cancelled"
     assert ([world.jobs[job].final for job in jobs] == ["done"] * 3) == (not broken)
 
 
