--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -3,11 +3,10 @@
 import pytest
 
 from tealhook.controller import Controller
-from tealhook.http import Request
 from tealhook.parts.keeper import PartKeeper
 from tealhook.parts.part import Part
 from tealhook.store import Ownership
-from tests.world import Broken, World
+from tests.world import Broken, World, make_request
 
 ALIKE = {
     "plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
@@ -52,9 +51,10 @@
 
 def _report(controller: Controller, body: bytes) -> int:
     statuses = []
-    request = Request("POST", "/v1/report", {}, True)
-    request.body = body
-    controller.on_request(request, lambda status, data=b"{}", retry_after=None: statuses.append(status))
+    controller.on_request(
+        make_request("POST", "/v1/report", body),
+        lambda status, data=b"{}", retry_after=None: statuses.append(status),
+    )
     return statuses[0] if statuses else 0
 
 
@@ -141,11 +141,7 @@
     if broken:  # a node that reaches no part keeps its homes
         monkeypatch.setattr(Ownership, "_stranded", lambda self, now: False)
     world = _busy(25)
-    for one in world.names:
-        for other in world.names:
-            if one != other:
-                world.network.cut(one, other)
-    world.network.hold = False
+    world.network.cut_peers()
     world.run(12.0)  # time for a home to move to a node that reaches a part
     jobs = [
         world.submit(crew=f"team-{team}", plays=2, vcpus=1.0, expected_s=3.0, **ALIKE) for team in range(3)
--- a/tests/test_user.py
+++ b/tests/test_user.py
@@ -4,9 +4,9 @@
 import threading
 
 from tealhook.cli import main
-from tealhook.http import HttpServer, Request
+from tealhook.http import HttpServer
 from tealhook.loop import Loop
-from tests.world import World
+from tests.world import World, make_request
 
 
 def test_submit_comes_back_when_told_to_and_show_and_cancel_answer(tmp_path, capsys):
@@ -81,8 +81,7 @@
 
     def submit(**over) -> tuple[int, int | None, float]:
         answers = []
-        request = Request("POST", "/work", {}, True)
-        request.body = json.dumps(spec | over).encode()
+        request = make_request("POST", "/work", json.dumps(spec | over).encode())
         asked = world.now
         node.on_request(request, lambda status, data=b"{}", after=None: answers.append(
             (status, after, world.now - asked)))
--- a/tests/world.py
+++ b/tests/world.py
@@ -154,6 +154,14 @@
     def cut(self, a: str, b: str) -> None:
         self.cuts.add(frozenset((a, b)))
 
+    def cut_peers(self) -> None:
+        """All connections between controllers are refused."""
+        self.hold = False
+        for one in self.world.names:
+            for other in self.world.names:
+                if one != other:
+                    self.cut(one, other)
+
     def heal(self) -> None:
         self.cuts.clear()
         held, self.held = self.held, {}
@@ -209,8 +217,6 @@
             if controller is None:
                 world.at(0.01, lambda: answer(None, b""))
                 return
-            request = Request(method, target, {}, True)
-            request.body = body or b""
             life = world.lives[node]
 
             def reply(status: int, data: bytes = b"{}", retry_after: int | None = None) -> None:
@@ -219,16 +225,16 @@
                 if world.lives.get(node) == life:
                     self._pass(node, who, lambda: answer(status, data))
 
-            controller.on_request(request, reply)
+            controller.on_request(make_request(method, target, body), reply)
 
         self._pass(who, node, arrive)
         if target == "/v1/report" and world.rng.random() < self.copies:
             def copy() -> None:
                 controller = world.nodes.get(node)
                 if controller is not None:
-                    request = Request(method, target, {}, True)
-                    request.body = body or b""
-                    controller.on_request(request, lambda status, data=b"{}", retry_after=None: None)
+                    controller.on_request(
+                        make_request(method, target, body), lambda status, data=b"{}", retry_after=None: None
+                    )
 
             world.at(world.rng.uniform(0.5, 4 * world.settings.params.workers.lease_s), copy)
 
@@ -253,6 +259,12 @@
         self._pass(sender, peer, arrive)
 
 
+def make_request(method: str, target: str, body: bytes | None) -> Request:
+    request = Request(method, target, {}, True)
+    request.body = body or b""
+    return request
+
+
 class SimJob:
     """What the user of a job knows and was told."""
 
@@ -546,11 +558,7 @@
         net.copies = 0.3
         world.at(2 * span, lambda: setattr(net, "copies", 0.0))
     elif kind == 15:
-        net.hold = False
-        for one in world.names:
-            for other in world.names:
-                if one != other:
-                    net.cut(one, other)
+        net.cut_peers()
         world.at(span, net.heal)
 
 
