Tasks leave a machine on its notice; machines silent alone are released sooner

Machines that stop were waited for during a whole lease of 21 s. Ruled out: queueing (the same jobs are late when nothing waits).

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -313,9 +313,15 @@
             if state is not None:
                 if box.status == "starting":
                     box.status, box.up_at = "running", now
-                # Silent and no longer listed: very likely taken back; the release makes it certain.
+                # Silent and no longer listed, or after a notice: very likely taken back; the release makes it
+                # certain. One with a notice that holds nothing any more is paid for in vain.
                 report_s = self._settings.params.workers.report_s
-                if state.heard_s > (3 * report_s if box.absent else fence_s + lease_s):
+                silence_s = fence_s + lease_s
+                if state.doomed:
+                    silence_s = 1.5 * report_s
+                elif box.absent:
+                    silence_s = 2 * report_s
+                if state.heard_s > silence_s or state.doomed and state.drained:
                     self._fences.setdefault(box.name, now)
             elif box.status == "starting" and now - box.born > DEAD_BOOT * ready_s + self._lag:
                 log.info("%s never came up", box.name)
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -27,6 +27,7 @@
 log = logging.getLogger("tealhook.jobs")
 
 TXN_BYTES = 56 * 1024  # of the 64 KiB that a transaction may have
+UNANSWERED_S = 5.5  # the protocol: a report unanswered for 4 s, the next node 1 s later, sent on within 0.5 s
 
 
 class HomeKeeper:
@@ -330,6 +331,9 @@
         if not isinstance(reply, wire.LookReply) or self.homes.get(home.team) is not home:
             return
         fence_s = self._policy.value("fence_s", self._variables())
+        # A worker that is up has been heard of again by then, be it by way of another node; when many are silent
+        # at once it is rather the way to them that is cut, and they may come back with all their tasks.
+        silence_s = min(fence_s, 2 * self._workers.report_s + UNANSWERED_S) if reply.lone else fence_s
         lost = []
         for name, silent in zip(names, reply.silent, strict=False):
             for _team, job_id, index in sorted(self._on_machine.get(name, ())):
@@ -339,7 +343,7 @@
                     continue
                 if attempt.ack_seq is None and attempt.token == reply.token and asked > attempt.open_until:
                     attempt.ack_seq = reply.seq
-            if silent > fence_s or (silent < 0 and reply.owned_s > fence_s):
+            if silent > silence_s or (silent < 0 and reply.owned_s > fence_s):
                 lost.append(name)
         owner = self._own.owner(FLEET)
         if lost and owner is not None:
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -29,6 +29,7 @@
 DEAF_LEASES = 2.0  # a machine that has not heard for so many leases is replaced
 DRIFT = 1.001  # two steady clocks, each at most 0.05% off
 ANSWER_S = 4.0  # the protocol: a worker drops answers that come later
+LONE_SHARE = 0.25  # of a part's machines silent at most: it is them, else the way to them
 
 
 class Part:
@@ -116,6 +117,8 @@
             # lacks is provably not there.
             machine.sure = True
             self._take_plays(machine, report.plays or [], now)
+            if report.warning_s is not None:
+                self._leave(machine, report.warning_s, now)
         self._publish(machine, now)
         return True
 
@@ -209,6 +212,26 @@
         if held or machine.bookings:
             machine.idle_since = now
 
+    def _leave(self, machine: Machine, left_s: float, now: float) -> None:
+        """Stop what can't end before the cloud takes the machine: elsewhere it begins anew that much sooner.
+
+        Left alone it would be lost when the machine goes, and known to be lost only after that has been noticed.
+        """
+        for key, held in machine.held.items():
+            known = self._book.active.get(held.job)
+            if known is None or not held.alive or key in machine.kills:
+                continue
+            spec = known.spec
+            ends_at = (held.ran_from or now) + spec.expected_s
+            if held.ran_from and ends_at <= now or ends_at <= now + left_s:
+                continue  # it may well end in time; so may one that is past its estimate
+            saves = spec.snapshot_every_s > 0 and spec.snapshot_s < left_s
+            machine.kills[key] = spec.snapshot_s if saves else 0.0
+        for booking in machine.open_bookings():
+            known = self._book.active.get(booking.job)
+            if booking.launching and not booking.sends and known is not None and known.spec.expected_s > left_s:
+                self.room.drop_booking(machine, booking)
+
     def _status_change(self, machine: Machine, held: Held, play: wire.Play, now: float) -> None:
         known = self._book.active.get(held.job)
         if play.status == "running" and not held.ran_from:
@@ -369,8 +392,11 @@
                 silent.append(-1.0)
             else:
                 silent.append(now - machine.heard_at)
+        quiet = sum(now - machine.heard_at > 2 * self._workers.report_s for machine in self.machines.values())
         self._seq += 1
-        return mesh.LookReply(self.token, self._seq, silent, now - self.owned_at)
+        return mesh.LookReply(
+            self.token, self._seq, silent, now - self.owned_at, quiet <= LONE_SHARE * len(self.machines)
+        )
 
     def show(self, request: mesh.Look) -> None:
         """News of the machines looked at; to be sent after the answer, whose number they must exceed."""
@@ -466,7 +492,7 @@
             busy = bool(machine.held or machine.bookings)
             states.append(mesh.BoxState(
                 machine.name, machine.rig, machine.loaners, used, 0.0 if busy else now - machine.idle_since,
-                now - machine.heard_at, machine.doomed, machine.drained and not busy,
+                now - machine.heard_at, machine.doomed, (machine.drained or machine.doomed) and not busy,
                 machine.sick or (machine.deaf_since is not None and now - machine.deaf_since > DEAF_LEASES * lease_s),
             ))
         return states
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -135,12 +135,16 @@
 
 
 class LookReply(msgspec.Struct, tag="look_r"):
-    """`silent`: seconds since each machine was heard of; -1: never under this token."""
+    """`silent`: seconds since each machine was heard of; -1: never under this token.
+
+    `lone`: most of the part's machines are heard of, so that the silent ones are silent by themselves.
+    """
 
     token: int
     seq: int
     silent: list[float]
     owned_s: float
+    lone: bool = False
 
 
 class Stop(msgspec.Struct, tag="stop"):
@@ -184,7 +188,7 @@
     idle_s: float
     heard_s: float
     doomed: bool
-    drained: bool
+    drained: bool  # given nothing more, and empty
     sick: bool
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -232,7 +232,7 @@
         self.up = self.dead = self.failed = self.hung = False
         self.sick = False
         self.shift, self.tick, self.baton = 1, 0, 0
-        self.warning: float | None = None
+        self.taken_at: float | None = None  # when the cloud takes it, once that has been told
         self.plays: dict[tuple[str, int], dict] = {}
         self.images: set[str] = set()
         self.node = world.rng.randrange(len(world.names))
@@ -253,6 +253,11 @@
         self.up = False
         self.plays.clear()
 
+    def notice(self, seconds: float) -> None:
+        """The cloud will take the machine; to do so is the caller's."""
+        self.taken_at = self.world.now + seconds
+        self._report()
+
     def fail(self) -> None:
         """Stops of its own accord, with all that is on it."""
         self.power_off()
@@ -305,7 +310,7 @@
         return {
             "box": self.name, "addr": self.addr, "rig": self.rig["name"], "yard": self.yard,
             "loaners": self.loaners, "shift": self.shift, "tick": self.tick, "baton": self.baton,
-            "warning_s": self.warning, "plays": plays,
+            "warning_s": None if self.taken_at is None else max(0.0, self.taken_at - self.world.now), "plays": plays,
         }
 
     def _report(self) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -107,7 +107,7 @@
 
 
 def _late_watches() -> World:
-    """Watches tell of each change seconds late: jobs end or are assigned by owners that can't know of a cancellation."""
+    """Watches tell of each change late: jobs end or are assigned by owners that can't know of a cancellation."""
     world = World(3)
     whole = world.state.handle
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -544,7 +544,7 @@
     elif kind == 11 and workers:
         for worker in rng.sample(workers, max(1, len(workers) // 3)):
             if worker.loaners:
-                worker.warning = 4.0
+                worker.notice(4.0)
                 world.at(rng.choice([0.0, 4.0]), lambda worker=worker: world.cloud.remove(worker.name))
             else:
                 worker.fail()
