--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -39,7 +39,6 @@
         self._workers = settings.params.workers
         self._types: dict[str, MachineType] = {}
         self._progress: dict[str, tuple[int, int]] = {}
-        self._spot_loss = 0.0  # as the fleet's owner tells
         self._gossip: dict[str, tuple[float, wire.Gossip]] = {}
         self._peer_state: dict[str, float] = {}  # peer -> when the state service last served it
         self.store = StateClient(effects, settings)
@@ -206,7 +205,6 @@
             "guaranteed": sum(team.cpus for team in params.teams),
             "limit": sum(team.cpus_max for team in params.teams),
             "machine": max((rig.vcpus for rig in self._types.values()), default=0.0),
-            "spot_loss": self._spot_loss,
         }
 
     # -- the mesh
@@ -221,13 +219,12 @@
         boxes = {zone: part.states() for zone, part in self.parts.parts.items()}
         age = now - self.store.answered_at
         addrs = self.fleet.addresses()
-        spot_loss = self.fleet.spot_loss() if fleet == self.mesh.node else None
         holdings = self.ownership.holdings()
         for peer in (*self.mesh.peers, self.mesh.node):
             theirs = {zone: names for zone, names in addrs.items() if self.ownership.owner(part_key(zone)) == peer}
             body = wire.Gossip(
                 self.mesh.node, age, holdings, usage, demand if peer == fleet else [],
-                boxes if peer == fleet else {}, progress, theirs, spot_loss,
+                boxes if peer == fleet else {}, progress, theirs,
             )
             if peer == self.mesh.node:
                 self._on_gossip(body)
@@ -242,8 +239,6 @@
         if body.node != self.mesh.node:
             self._peer_state[body.node] = now - body.state_age
             self.ownership.hear(body.node, body.owned)
-        if body.spot_loss is not None:
-            self._spot_loss = body.spot_loss
         for zone, names in body.addrs.items():
             if zone in self.parts.parts:
                 self.parts.parts[zone].call_in(names)
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -664,7 +664,6 @@
     def demand(self) -> list[wire.Demand]:
         """Waiting tasks by shape, no more than the team's limit lets run."""
         found: dict[tuple, wire.Demand] = {}
-        now, variables = self._fx.now(), self._variables()
         for home in self.homes.values():
             room = home.limit - home.taken() if home.limit > 0 else 1e9
             for job in sorted(home.jobs.values(), key=lambda j: j.stamp):
@@ -678,7 +677,7 @@
                     room -= count * job.need[0]
                 if count <= 0:
                     continue
-                shape = job.shape(self.rounds.fragile(job, now, variables))
+                shape = job.shape()
                 entry = found.setdefault(
                     (home.team, shape, job.spec.yard),
                     wire.Demand(home.team, shape, job.spec.yard, 0, job.spec.lineup),
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -89,12 +89,10 @@
             return 0
         return self.plays - self.done_count - len(self.attempts) - len(self.staged)
 
-    def shape(self, fragile: bool = False) -> Shape:
-        """What its tasks need; those of a fragile job keep off spot machines."""
+    def shape(self) -> Shape:
         spec = self.spec
         return Shape(
-            spec.vcpus, spec.cards, spec.memory_gb, spec.playbook or "", spec.pull_gb,
-            spec.loaners and not fragile,
+            spec.vcpus, spec.cards, spec.memory_gb, spec.playbook or "", spec.pull_gb, spec.loaners,
             tuple(spec.rigs or ()), URGENCY_RANK[spec.urgency], spec.expected_s,
         )
 
--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -21,7 +21,6 @@
 MAX_GROUPS = 48  # jobs looked at in one round
 SIZE_STEPS = 1.5  # steps in which the work left of jobs is compared, for each doubling of it
 PATIENT_FAILURES = 3  # failures in a row before a job is tried one task at a time
-FRAGILE_BOOTS = 2.0  # boots for which a job may wait for machines that the cloud does not take back
 
 
 class TeamHome:
@@ -51,8 +50,7 @@
     __slots__ = ("home", "job", "count", "secured", "aged", "overdue", "shape", "rank")
 
     def __init__(
-        self, home: TeamHome, job: Job, count: int, secured: bool, aged: bool, overdue: bool, late: bool,
-        fragile: bool,
+        self, home: TeamHome, job: Job, count: int, secured: bool, aged: bool, overdue: bool, late: bool
     ) -> None:
         self.home = home
         self.job = job
@@ -63,13 +61,12 @@
         self.secured = secured
         self.aged = aged or overdue
         self.overdue = overdue
-        self.shape = job.shape(fragile)
+        self.shape = job.shape()
         # Users count jobs done in time, not tasks: so what is left of the whole job comes before min-min's order
         # of single tasks, in steps wide enough that min-min still chooses among jobs of about one size.
         work = job.waiting() * max(job.need[0], job.need[1]) * max(1.0, self.shape.run_s)
         size = int(SIZE_STEPS * math.log2(1.0 + work))
-        # What is kept off spot machines takes no room there; where it may go, others have less need to.
-        self.rank = (not overdue, -self.shape.urgency, not secured, late, not self.aged, not fragile, size)
+        self.rank = (not overdue, -self.shape.urgency, not secured, late, not self.aged, size)
 
 
 class Rounds:
@@ -104,11 +101,6 @@
             o.class_: o.within_s for o in sorted(settings.params.objectives, key=lambda o: o.within_s or 0.0)
             if o.kind == "finished" and o.class_ and o.within_s
         }
-        # class -> within what time most of its jobs should be done
-        self._soon_s = {
-            o.class_: o.within_s for o in sorted(settings.params.objectives, key=lambda o: -(o.within_s or 0.0))
-            if o.kind == "finished" and o.class_ and o.within_s
-        }
         self._round_on = False
         self._pause = self._workers.report_s / 8
         self._schedule()
@@ -190,33 +182,10 @@
                 overdue = now - job.since > hold_age and not (job.done_count or job.attempts or job.staged)
                 if oldest and now - job.since > begin:
                     overdue, oldest = True, False
-                fragile = not overdue and self.fragile(job, now, variables)
-                found.append(Mappable(
-                    home, job, count, secured, aged, overdue, self._late(job, now), fragile
-                ))
+                found.append(Mappable(home, job, count, secured, aged, overdue, self._late(job, now)))
         found.sort(key=lambda m: (m.rank, m.job.stamp))
         return found[:MAX_GROUPS]
 
-    def fragile(self, job: Job, now: float, variables: dict[str, float]) -> bool:
-        """Whether the loss of a spot machine would make a job late, and is likely.
-
-        A task lost early can be run again in time. The longer it takes of what its objective allows, the longer it
-        runs with nothing left for a second try; and a job of many such tasks loses one nearly always. Ordinary
-        machines are waited for no longer than some boots, and only while they can still help.
-        """
-        spec = job.spec
-        due = spec.due_s or self._soon_s.get(spec.lineup)
-        if not spec.loaners or spec.snapshot_every_s > 0 or spec.shape == SERVICE or due is None:
-            return False
-        age, boot_s = now - job.since, variables["boot_s"]
-        if age > FRAGILE_BOOTS * boot_s or age + spec.expected_s > due:
-            return False
-        if FRAGILE_BOOTS * boot_s > self._wait_s.get(spec.lineup, math.inf):
-            return False  # it must start sooner than a machine boots
-        fatal_s = min(spec.expected_s, max(0.0, age + 2 * spec.expected_s - due))
-        losses = (job.plays - job.done_count) * fatal_s * variables["spot_loss"] / 3600
-        return 1.0 - math.exp(-losses) > self._policy.value("spot_risk", variables)
-
     def _late(self, job: Job, now: float) -> bool:
         """Whether a job can't be done in time any more, so that others which can go before it.
 
--- a/tealhook/settings/policy.py
+++ b/tealhook/settings/policy.py
@@ -28,7 +28,6 @@
     "peak": "most CPUs taken within the last few boots",
     "mean": "CPUs taken, smoothed over several boots",
     "machine": "CPUs of the largest type on offer",
-    "spot_loss": "spot machines that the cloud takes back, for each hour of one; 0 while no others can be had",
 }
 FUNCTIONS: dict[str, Callable[..., float]] = {
     "min": min,
@@ -50,9 +49,6 @@
         "seconds for which CPUs beyond that must be spare before their machines are returned", "boot_s / 3", 0.0, 1e6,
     ),
     "spot_share": ("largest share of the fleet's CPUs that may be spot machines", "1", 0.0, 1.0),
-    "spot_risk": (
-        "risk of being late for the loss of a machine up to which a job's tasks go to spot machines", "0.5", 0.0, 1.0,
-    ),
     "hold_age_s": (
         "seconds of waiting after which a task holds room on its best part, and a job not begun goes first",
         "begin_s / 3",
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -219,7 +219,6 @@
     boxes: dict[str, list[BoxState]] = {}
     progress: dict[str, tuple[int, int]] = {}
     addrs: dict[str, dict[str, str]] = {}  # from the fleet's owner: zone -> machine -> address
-    spot_loss: float | None = None  # from the fleet's owner
 
 
 class Relay(msgspec.Struct, tag="relay"):
