Fleet: what may not go to spot machines is rented for apart; a done job's times in the debug log

The cheapest kind that served any waiting job was rented for all of them: a job that may not use spot machines waited until nothing else did.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -32,7 +32,7 @@
 LATE_BOOT = 2.0  # of ready_s: from then on a starting machine is not counted on
 GOING_ON = 0.75  # of the CPUs taken now that stay taken over the horizon
 DEAR = 1.5  # times the price of a spot machine: an ordinary one is rented only for what presses
-LEAST_PAID_S = 60.0  # the protocol: a machine that is deleted costs at least that
+LEAST_PAID_S = 60.0  # the protocol: a machine that is deleted costs at least that, so it is kept that long
 DEAD_BOOT = 4.0  # of ready_s: from then on it is released
 Option = tuple[str, str, bool]  # type, zone, spot
 
@@ -349,7 +349,7 @@
             "peak": self._history.peak, "mean": self._history.mean,
         }
         ready = self._policy.value("ready_cpus", variables)
-        up = coming = spot = 0.0
+        up = coming = spot = ordinary = 0.0
         for box in self._boxes.values():
             rig = self._types.get(box.rig)
             if rig is None or box.name in self._fences:
@@ -363,7 +363,10 @@
                 up += rig.vcpus
             elif now - box.born <= LATE_BOOT * rig.ready_s + self._lag:
                 coming += rig.vcpus
-            spot += rig.vcpus if box.loaners else 0.0
+            if box.loaners:
+                spot += rig.vcpus
+            else:
+                ordinary += rig.vcpus - (state.used if state is not None else 0.0)
         lasting = min(self._history.lasting, waiting)
         # What is taken now frees within the horizon too: only part of it goes on, and what usually comes.
         going_on = max(self._history.mean, GOING_ON * used)
@@ -379,9 +382,14 @@
                 classes[item.lineup] = classes.get(item.lineup, 0) + item.count
             log.debug("fleet: up %g coming %g used %g waiting %g ready %g; tasks waiting: %s",
                       up, coming, used, waiting, ready, classes)
-        if missing > 0 and (self._cold or now - self._began > self._lag):
-            self._rent(missing, pressing, demand, spot, up + coming, variables, now)
-        self._drain(boxes, up + coming - max(ready, used + waiting), variables, now)
+        # What may not go to spot machines has the others to itself, and is not helped by spot machines.
+        steady = [item for item in demand if not item.shape.loaners]
+        short = sum(backlog_cpus(self._types, item, horizon) for item in steady) - ordinary
+        if self._cold or now - self._began > self._lag:
+            first = short > 0 and lasting > 0 and self._rent(short, short, steady, spot, up + coming, variables, now)
+            if missing > 0 and not first:
+                self._rent(missing, pressing, demand, spot, up + coming, variables, now)
+        self._drain(boxes, up + coming - max(ready, used + waiting), bool(steady), variables, now)
 
     def _pressing(self, demand: list[mesh_wire.Demand], horizon: Horizon) -> float:
         """CPUs without which waiting work would miss its objectives: they are worth a dear machine.
@@ -421,26 +429,28 @@
     def _rent(
         self, missing: float, pressing: float, demand: list[mesh_wire.Demand], spot: float, total: float,
         variables: dict[str, float], now: float,
-    ) -> None:
+    ) -> bool:
+        """Ask for one kind of machine, if one is to be had and may be asked for; whether one is on its way."""
         if self._renting is not None:
-            return
+            return True
         share = self._policy.value("spot_share", variables)
         spot_ok = spot <= share * (total + missing) and share > 0
         options = self._options(demand, spot_ok, now)
         if not options:
-            return
+            return False
         rig_name, zone, loaners = options[0][1]
         rig = self._types[rig_name]
         if not loaners and rig.spot_price * DEAR < rig.hourly:
             missing = min(missing, pressing)
             if missing <= 0:
-                return
+                return False
         if not self._bucket.take(1, now, keep=self._bucket.burst / 4):
-            return
+            return False
         count = max(1, min(wire.MAX_RENT, int(missing / rig.vcpus + 0.75)))
         self._asked += 1
         ask = f"{self._own.node}-{self._token}-{self._asked}"  # the token makes it unique for ever
         self._send_rental(wire.Rental(ask, rig_name, zone, loaners, count))
+        return True
 
     def _send_rental(self, rental: wire.Rental) -> None:
         self._renting = rental
@@ -498,7 +508,8 @@
         self._refused[option] = (now + pause * (0.75 + 0.5 * self._fx.rng.random()), pause)
 
     def _drain(
-        self, boxes: dict[str, mesh_wire.BoxState], surplus: float, variables: dict[str, float], now: float
+        self, boxes: dict[str, mesh_wire.BoxState], surplus: float, keep_ordinary: bool,
+        variables: dict[str, float], now: float,
     ) -> None:
         """Return what idles beyond the ready room, the dearest first; and machines that fail their tasks."""
         idle_return_s = self._policy.value("idle_return_s", variables)
@@ -519,7 +530,7 @@
                 continue
             if state.sick:
                 wanted.setdefault(box.yard, set()).add(box.name)
-            elif not state.doomed and now - box.born >= LEAST_PAID_S:  # what is paid for anyway is kept that long
+            elif not state.doomed and (box.loaners or not keep_ordinary) and now - box.born >= LEAST_PAID_S:
                 price = _cpu_price(rig, box.loaners)
                 spare.append((-price, state.used, -state.idle_s, box.name, box, rig))
         # The dearest first, and the sooner the dearer. One that still has tasks gets no more of them: otherwise
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -490,6 +490,10 @@
     def _durable(self, part: _Committed, epoch: int, launches: dict) -> None:
         home, job = part.home, part.job
         if part.kind == "done":
+            if job.spec is not None and log.isEnabledFor(logging.DEBUG):
+                log.debug("%s done after %.1f s: %s, %d tasks of %g CPUs, expected %.1f s, due %s", job.id,
+                          self._fx.now() - job.since, job.spec.lineup, job.plays, job.spec.vcpus,
+                          job.spec.expected_s, job.spec.due_s)
             self._book.learn(job.id, JobRecord(job.team, DONE), epoch)
             job.spec = None
             if job.attempts:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -24,3 +24,18 @@
                     world.network.cut(owner, other)
     world.run(40.0)
     assert up <= world.cloud.machines.keys()
+
+
+def test_jobs_kept_off_spot_machines_get_others_though_cheaper_ones_are_wanted_too():
+    """Guards against renting the cheapest kind for all that waits: what may not use it had to wait for the rest."""
+    world, alike = World(12, limit=1e6), {
+        "plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "urgency": "standard",
+        "plays": 6, "vcpus": 4.0, "expected_s": 10.0,
+    }
+    world.cloud.room = 30
+    for position in range(30):
+        world.at(2.0 * position, lambda: world.submit(loaners=True, **alike))
+    world.run(20.0)
+    job = world.jobs[world.submit(loaners=False, **alike)]
+    world.run(120.0)
+    assert job.final == "done" and job.started_at - job.submitted_at < 45.0
