--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -10,7 +10,7 @@
 from tealhook.wire.mesh import Demand, Shape
 from tealhook.wire.users import URGENCY_RANK
 
-WINDOW_BOOTS = 2  # lately: so many boots
+WINDOW_BOOTS = 1  # lately: so many boots
 LATE_SLACK = 3.0  # by so much more time the objectives would just be met
 URGENT_BOOTS = 0.7  # within so much of a boot, waiting urgent work is to be worked off
 
