--- a/tealhook/settings/policy.py
+++ b/tealhook/settings/policy.py
@@ -41,7 +41,7 @@
 RULES: dict[str, tuple[str, str, float, float]] = {
     "ready_cpus": (
         "CPUs that the fleet keeps up, taken or not",
-        "max(limit if guaranteed > 0 else 0, 0.4 * mean + 0.6 * urgent)",
+        "max(limit if guaranteed > 0 else 0, 0.6 * mean + 0.6 * urgent)",
         0.0,
         1e9,
     ),
