--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -46,7 +46,7 @@
         self.mesh = Mesh(effects, settings.node, list(settings.peers), self.ownership.boot)
         self.mesh.handler = self._on_mesh
         self.mesh.current_boot = self.ownership.boot_of
-        self.ownership.reachable = self.mesh.reachable = self._reachable
+        self.ownership.reachable = self._reachable
         self.ownership.listener = self._on_ownership
         self.book = Book(effects, settings, self.store)
         self.book.listener = self._on_job
--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -120,7 +120,7 @@
         groups = self._groups() if self._store.served and not self._behind() else []
         zones = {zone: owner for zone in self._own.zones() if (owner := self._own.owner(part_key(zone)))}
         # Owners that do not answer would hold up each round; those that can be reached go on without them.
-        zones = {zone: owner for zone, owner in zones.items() if self._mesh.reachable(owner)} or zones
+        zones = {zone: owner for zone, owner in zones.items() if self._own.reachable(owner)} or zones
         if not groups or not zones:
             self._pause = min(self._workers.report_s / 4, self._pause * 1.5)
             self._schedule()
--- a/tealhook/mesh/mesh.py
+++ b/tealhook/mesh/mesh.py
@@ -30,7 +30,6 @@
         self._pending: dict[int, Answered] = {}
         self._numbers: dict[tuple[str, int], int] = {}  # (sender, boot) -> number of its newest gossip
         self.current_boot: Callable[[str], int | None] = lambda peer: None  # as registered, if it is
-        self.reachable: Callable[[str], bool] = lambda peer: True
         self.heard: dict[str, float] = {}
         self.handler: Callable[[str, Any, Callable[[Any], None]], None] = lambda sender, body, reply: None
 
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -28,6 +28,7 @@
 REPORT_GAP_S = 0.5  # the protocol: a worker never reports more often
 DEAF_LEASES = 2.0  # a machine that has not heard for so many leases is replaced
 DRIFT = 1.001  # two steady clocks, each at most 0.05% off
+DIRECT_S = 2.0  # a worker that has not answered a direct call by then is asked again later
 ANSWER_S = 4.0  # the protocol: a worker drops answers that come later
 LONE_SHARE = 0.25  # of a part's machines silent at most: it is them, else the way to them
 
@@ -73,7 +74,7 @@
             if now - self._called.get(name, -NEVER_S) < self._workers.lease_s / 4:
                 continue
             self._called[name] = now
-            self._fx.worker(addr, "GET", "/show", None, 2.0, lambda status, body, addr=addr: self._shown(
+            self._fx.worker(addr, "GET", "/show", None, DIRECT_S, lambda status, body, addr=addr: self._shown(
                 addr, status, body))
 
     def _shown(self, addr: str, status: int | None, body: bytes) -> None:
@@ -86,9 +87,7 @@
             return
         if report.baton < self.token:
             call = dumps(wire.Orders(self.token, [], report.shift))
-            self._fx.worker(addr, "POST", "/orders", call, 2.0, lambda status, body: None)
-
-    # -- what is known of tasks
+            self._fx.worker(addr, "POST", "/orders", call, DIRECT_S, lambda status, body: None)
 
     # -- reports
 
@@ -171,7 +170,7 @@
                     log.info("%s hears again", machine.name)
                     machine.deaf_since = None
 
-            self._fx.worker(machine.addr, "GET", "/show", None, 2.0, shown)
+            self._fx.worker(machine.addr, "GET", "/show", None, DIRECT_S, shown)
 
     def _new_shift(self, machine: Machine, shift: int, now: float) -> None:
         """The worker's lease ran out: every task of the earlier session is killed and forgotten."""
@@ -333,7 +332,7 @@
         ]
         if orders:
             body = dumps(wire.Orders(self.token, orders[:MAX_ORDERS], machine.shift))
-            self._fx.worker(machine.addr, "POST", "/orders", body, 2.0, lambda status, body: None)
+            self._fx.worker(machine.addr, "POST", "/orders", body, DIRECT_S, lambda status, body: None)
 
     def _exits_at_once(self, held: Held, wind_down: float) -> bool:
         known = self._book.active.get(held.job)
