Fleet: of spare machines of about one price those that will be empty first are returned

Cause: machines were drained in the order of their exact price, so all of one type before any of another, whatever ran on them; one long task held a drained machine for minutes, half idle. Change: part owners tell when a machine will be empty (instead of how long it has been idle); that is the order among machines within half of a price.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -511,7 +512,7 @@
         self, boxes: dict[str, mesh_wire.BoxState], surplus: float, keep_ordinary: bool,
         variables: dict[str, float], now: float,
     ) -> None:
-        """Return what idles beyond the ready room, the dearest first; and machines that fail their tasks."""
+        """Return what idles beyond the ready room, much dearer ones first; and machines that fail their tasks."""
         idle_return_s = self._policy.value("idle_return_s", variables)
         self._surplus.append((now, surplus))
         while self._surplus[0][0] < now - idle_return_s:
@@ -532,11 +533,13 @@
                 wanted.setdefault(box.yard, set()).add(box.name)
             elif not state.doomed and (box.loaners or not keep_ordinary) and now - box.born >= LEAST_PAID_S:
                 price = _cpu_price(rig, box.loaners)
-                spare.append((-price, state.used, -state.idle_s, box.name, box, rig))
-        # The dearest first, and the sooner the dearer. One that still has tasks gets no more of them: otherwise
-        # what is left to do would stay spread thinly over all machines, and none of them would ever be idle.
+                dear = int(math.log(max(1.0, price / cheapest), DEAR)) if cheapest else 0
+                spare.append((-dear, state.empty_s, -price, box.name, box, rig))
+        # The much dearer ones first, and the sooner the dearer; else those that will be empty first, since until
+        # then the room on them is paid for in vain. One that still has tasks gets no more of them: otherwise what
+        # is left to do would stay spread thinly over all machines, and none of them would ever be idle.
         taken = 0.0
-        for cost, _used, _idle, _name, box, rig in sorted(spare):
+        for _dear, _empty, cost, _name, box, rig in sorted(spare):
             patience = idle_return_s * (cheapest / -cost if cost < 0 else 1.0)
             lasting = min(spare_cpus for at, spare_cpus in self._surplus if at >= now - patience)
             if lasting - taken < rig.vcpus or now - self._began < patience:
--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -84,7 +84,6 @@
         self.kills: dict[tuple[str, int], float] = {}
         self.clears: set[tuple[str, int]] = set()
         self.images: OrderedDict[str, float] = OrderedDict()
-        self.idle_since = now
         self.failed_jobs: set[str] = set()
         self.told: dict[str, tuple] = {}  # what each home's owner was last told, and when
         self.hold_for: tuple[str, float] | None = None  # an aged job that holds the room, until when
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -208,8 +208,6 @@
         for done in [key for key in machine.kills if key not in held or not held[key].alive]:
             del machine.kills[done]
         machine.clears.intersection_update(held)
-        if held or machine.bookings:
-            machine.idle_since = now
 
     def _leave(self, machine: Machine, left_s: float, now: float) -> None:
         """Stop what can't end before the cloud takes the machine: elsewhere it begins anew that much sooner.
@@ -490,7 +488,7 @@
             used = max(0.0, (rig.vcpus - free[0])) if rig else 0.0
             busy = bool(machine.held or machine.bookings)
             states.append(mesh.BoxState(
-                machine.name, machine.rig, machine.loaners, used, 0.0 if busy else now - machine.idle_since,
+                machine.name, machine.rig, machine.loaners, used, self.room.empty_in(machine, now),
                 now - machine.heard_at, machine.doomed, (machine.drained or machine.doomed) and not busy,
                 machine.sick or (machine.deaf_since is not None and now - machine.deaf_since > DEAF_LEASES * lease_s),
             ))
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -207,6 +207,15 @@
             machine.ends.sort()
         return machine.ends
 
+    def empty_in(self, machine: Machine, now: float) -> float:
+        """Estimated seconds until what is on a machine has ended."""
+        ends = self._ends(machine)
+        left = max(0.0, ends[-1][0] - now) if ends else 0.0
+        for booking in machine.bookings.values():
+            known = self._book.active.get(booking.job)
+            left = max(left, known.spec.expected_s if known is not None else 0.0)
+        return left
+
     def _frees_in(self, machine: Machine, need: Need, now: float) -> float:
         """Estimated seconds until a task of `need` would fit."""
         free = list(self.free(machine))
@@ -277,7 +286,6 @@
             held.yields_to = booking.rid
         machine.bookings[booking.rid] = booking
         self.touch(machine)
-        machine.idle_since = now
         if machine.hold_for is not None and machine.hold_for[0] == want.job:
             machine.hold_for = None
         fetch = 0.0 if machine.has_image(want.shape.image) else want.shape.image_gb / self.rate(machine.rig)
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -185,7 +185,7 @@
     rig: str
     loaners: bool
     used: float
-    idle_s: float
+    empty_s: float  # estimated seconds until its tasks have ended
     heard_s: float
     doomed: bool
     drained: bool  # given nothing more, and empty
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from tealhook.fleet.keeper import _Box
+from tealhook.wire import mesh
 from tests.world import World
 
 
@@ -39,3 +41,25 @@
     job = world.jobs[world.submit(loaners=False, **alike)]
     world.run(120.0)
     assert job.final == "done" and job.started_at - job.submitted_at < 45.0
+
+
+def _drained(empty_s: dict[str, float], spare_cpus: float) -> list[str]:
+    """Which of machines of one kind are to be returned, by when each will be empty."""
+    world = World(6, nodes=1)
+    world.run(10.0)
+    fleet, now, sent = world.nodes["n0"].fleet, world.now, []
+    fleet._boxes = {name: _Box(name, "small", "za", True, now - 300.0) for name in empty_s}
+    fleet._mesh.send = lambda peer, body: sent.append(body)
+    fleet._surplus.clear()
+    states = {
+        name: mesh.BoxState(name, "small", True, 4.0, left, 0.0, False, False, False) for name, left in empty_s.items()
+    }
+    fleet._drain(states, spare_cpus, False, world.nodes["n0"]._variables(), now)
+    return [name for body in sent if isinstance(body, mesh.Drain) for name in body.machines]
+
+
+def test_of_spare_machines_those_that_will_be_empty_first_are_returned_first():
+    """Guards against draining machines that a long task holds: until it ends, the rest of each is paid for in vain."""
+    assert _drained({"a": 90.0, "b": 5.0, "c": 40.0}, 8.0) == ["b"]
+    assert _drained({"a": 90.0, "b": 5.0, "c": 40.0}, 16.0) == ["b", "c"]
+    assert _drained({"a": 90.0, "b": 5.0, "c": 40.0}, 7.0) == []
