Machines taken while their part changes owners are missed sooner; an ended grant is no error in the log

What was never heard of counts as silent alone now when most machines have come over; and the fleet releases what is missing from its list for longer than the list lags and that no owner tells of. A node whose grant ended logged errors until its renewal said so; that is information now.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -45,7 +45,7 @@
 class _Box:
     """A machine that we rent."""
 
-    __slots__ = ("name", "rig", "yard", "loaners", "status", "born", "up_at", "listed", "absent", "told_at", "addr")
+    __slots__ = ("name", "rig", "yard", "loaners", "status", "born", "up_at", "listed", "absent_at", "told_at", "addr")
 
     def __init__(self, name: str, rig: str, yard: str, loaners: bool, born: float) -> None:
         self.name = name
@@ -58,7 +58,7 @@
         self.addr = ""
         self.told_at = 0.0  # when its part's owner last told of it, or could not
         self.listed = False
-        self.absent = False  # listed before, not in the last list
+        self.absent_at: float | None = None  # listed before, not in any list since then
 
 
 class FleetKeeper:
@@ -257,7 +257,7 @@
                 self._boxes[item.name_id] = box
             box.listed = True
             box.addr = item.addr
-            box.absent = False
+            box.absent_at = None
             if item.status == "failed":
                 # It has stopped of its own accord; releasing it takes it off the list, and is the proof.
                 self._fences.setdefault(box.name, now)
@@ -266,7 +266,8 @@
                 box.up_at = now
         for name, box in self._boxes.items():
             # Taken back, or the list is an older one: alone this proves nothing.
-            box.absent = box.listed and name not in names
+            if box.listed and name not in names and box.absent_at is None:
+                box.absent_at = now
 
     # -- releases
 
@@ -302,7 +303,7 @@
         self._call("POST", "/rentals/release", dumps({"boxes": names}), answer)
 
     def _watch_health(self, boxes: dict[str, mesh_wire.BoxState], zones: set[str], now: float) -> None:
-        lease_s = self._settings.params.workers.lease_s
+        lease_s, report_s = self._settings.params.workers.lease_s, self._settings.params.workers.report_s
         fence_s = self._policy.value("fence_s", self._variables())
         for box in self._boxes.values():
             rig = self._types.get(box.rig)
@@ -316,17 +317,19 @@
                     box.status, box.up_at = "running", now
                 # Silent and no longer listed, or after a notice: very likely taken back; the release makes it
                 # certain. One with a notice that holds nothing any more is paid for in vain.
-                report_s = self._settings.params.workers.report_s
                 silence_s = fence_s + lease_s
                 if state.doomed:
                     silence_s = 1.5 * report_s
-                elif box.absent:
+                elif box.absent_at is not None:
                     silence_s = 2 * report_s
                 if state.heard_s > silence_s or state.doomed and state.drained:
                     self._fences.setdefault(box.name, now)
             elif box.status == "starting" and now - box.born > DEAD_BOOT * ready_s + self._lag:
                 log.info("%s never came up", box.name)
                 self._fences.setdefault(box.name, now)
+            elif box.absent_at is not None and now - max(box.absent_at, box.told_at) > self._lag:
+                # Taken while its part changed owners, so that the new one never hears of it.
+                self._fences.setdefault(box.name, now)
             elif box.status == "running" and now - max(box.up_at, box.told_at, self._began) > 4 * lease_s:
                 log.info("%s runs, but its worker does not report", box.name)
                 self._fences.setdefault(box.name, now)
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -343,7 +343,7 @@
                     continue
                 if attempt.ack_seq is None and attempt.token == reply.token and asked > attempt.open_until:
                     attempt.ack_seq = reply.seq
-            if silent > silence_s or (silent < 0 and reply.owned_s > fence_s):
+            if (silent if silent >= 0 else reply.owned_s) > silence_s:
                 lost.append(name)
         owner = self._own.owner(FLEET)
         if lost and owner is not None:
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -389,11 +389,11 @@
                 silent.append(-1.0)
             else:
                 silent.append(now - machine.heard_at)
+        unheard = sum(name not in self.machines for name in request.machines)
         quiet = sum(now - machine.heard_at > 2 * self._workers.report_s for machine in self.machines.values())
+        lone = quiet + unheard <= LONE_SHARE * (len(self.machines) + unheard)
         self._seq += 1
-        return mesh.LookReply(
-            self.token, self._seq, silent, now - self.owned_at, quiet <= LONE_SHARE * len(self.machines)
-        )
+        return mesh.LookReply(self.token, self._seq, silent, now - self.owned_at, lone)
 
     def show(self, request: mesh.Look) -> None:
         """News of the machines looked at; to be sent after the answer, whose number they must exceed."""
--- a/tealhook/store/client.py
+++ b/tealhook/store/client.py
@@ -253,7 +253,8 @@
                 done(Outcome.UNSURE, 0, [])
                 return
             if status == 400:
-                log.error("state service: transaction refused: %s", body[:200])
+                ended = b"no such lease" in body  # as after any cut that outlasts it: the renewal sees to that
+                log.log(logging.INFO if ended else logging.ERROR, "state service: transaction refused: %s", body[:200])
             # 503 and 429 say that it was not executed; silence and anything unknown say nothing.
             done(Outcome.REFUSED if status in (400, 429, 503) else Outcome.UNSURE, 0, [])
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -93,3 +93,22 @@
     monkeypatch.setattr(HomeKeeper, "_looked", looked)
     with pytest.raises(AssertionError):
         test_many_silent_machines_are_waited_for()
+
+
+def test_a_machine_taken_while_its_part_changes_owners_is_missed_before_a_lease_is_over():
+    """Guards against waiting out a lease for a machine that the new owner never heard of, and the list lacks."""
+    world, worker = _running(60.0, lease_s=30.0, cancel_s=60.0)
+    owner = next(name for name, node in world.nodes.items() if worker.yard in node.parts.parts)
+    fleet = next(name for name, node in world.nodes.items() if node.fleet._token is not None)
+    world.run(12.0)  # the cloud lists it by now
+    gone: list[float] = []
+    for node in world.nodes.values():
+        node.homes.gone = lambda names, whole=node.homes.gone: (
+            gone.append(world.now) if worker.name in names else None, whole(names)
+        )
+    world.cloud.remove(worker.name)
+    at = world.now
+    assert owner != fleet
+    world.crash(owner, 0.2)
+    world.run(27.0)
+    assert gone and gone[0] - at < 27.0
