What stopping a task throws away counts its whole job where that makes the job late

Change: a task whose job could be in time if it goes on, but not if it begins anew, counts with all of its job's work. Objectives are read in one place (done_within).

--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -5,7 +5,7 @@
 import math
 from collections import deque
 
-from tealhook.settings.platform import Objective
+from tealhook.settings import Settings
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.mesh import Demand, Shape
 from tealhook.wire.users import URGENCY_RANK
@@ -40,14 +40,9 @@
 class Horizon:
     """Within what time waiting work of a class should be worked off, by the operators' objectives."""
 
-    def __init__(self, objectives: list[Objective], boot_s: float) -> None:
+    def __init__(self, settings: Settings, boot_s: float) -> None:
+        self._settings = settings
         self._boot_s = boot_s
-        self._within: dict[str, float] = {}
-        for objective in objectives:
-            if objective.class_ is None or not objective.within_s or objective.kind != "finished":
-                continue
-            known = self._within.get(objective.class_, math.inf)
-            self._within[objective.class_] = min(known, objective.within_s)
 
     def seconds(self, lineup: str, urgent: bool, late: bool = False) -> float:
         """A third of what the objective allows: the rest is for its boots, its tail and what comes next.
@@ -58,7 +53,8 @@
         slack = LATE_SLACK if late else 1.0
         if urgent:
             return slack * URGENT_BOOTS * self._boot_s
-        return slack * max(self._boot_s, self._within.get(lineup, 12 * self._boot_s) / 3)
+        within = min(self._settings.done_within(lineup), default=12 * self._boot_s)
+        return slack * max(self._boot_s, within / 3)
 
 
 def backlog_cpus(types: dict[str, MachineType], demand: Demand, horizon: Horizon, late: bool = False) -> float:
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -343,7 +343,7 @@
         variables = self._variables()
         if self._history is None:
             self._history = DemandHistory(variables["boot_s"])
-        horizon = Horizon(self._settings.params.objectives, variables["boot_s"])
+        horizon = Horizon(self._settings, variables["boot_s"])
         used = sum(item.cpus for item in usage)
         waiting = sum(backlog_cpus(self._types, item, horizon) for item in demand)
         patience = self._settings.params.workers.report_s
--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -86,6 +86,7 @@
         self._homes = homes
         self._behind = behind  # whether something placed waits for tokens to be made durable
         self._commit_soon = commit_soon
+        self._settings = settings
         self._workers = settings.params.workers
         self._guarantee_s = min(
             (o.within_s for o in settings.params.objectives if o.kind == "guarantee" and o.within_s),
@@ -96,11 +97,6 @@
             if objective.kind == "wait" and objective.class_ and objective.within_s:
                 known = self._wait_s.get(objective.class_, objective.within_s)
                 self._wait_s[objective.class_] = min(known, objective.within_s)
-        # class -> within what time its jobs should be done at the latest
-        self._done_s = {
-            o.class_: o.within_s for o in sorted(settings.params.objectives, key=lambda o: o.within_s or 0.0)
-            if o.kind == "finished" and o.class_ and o.within_s
-        }
         self._round_on = False
         self._pause = self._workers.report_s / 8
         self._schedule()
@@ -191,8 +187,8 @@
 
         By the owner's estimate, which is often too high: a quarter of it is not believed.
         """
-        due = job.spec.due_s or self._done_s.get(job.spec.lineup)
-        return due is not None and now + 0.75 * job.spec.expected_s > job.since + due
+        due = job.spec.due_s or max(self._settings.done_within(job.spec.lineup), default=math.inf)
+        return now + 0.75 * job.spec.expected_s > job.since + due
 
     def _limits(self, job: Job, zones: list[str]) -> dict[str, int]:
         """Most tasks of a job that may still go to each zone."""
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -42,6 +42,7 @@
         over: dict[str, float], machines: dict[str, Machine],
     ) -> None:
         self._fx = effects
+        self._settings = settings
         self._workers = settings.params.workers
         self._token = token
         self._book = book
@@ -338,12 +339,23 @@
         return now - held.ran_from if held.ran_from else 0.0
 
     def _lost(self, held: Held, now: float) -> float:
-        """CPU seconds that stopping a task throws away."""
+        """CPU seconds that stopping a task throws away; all of its job's where that makes the job late.
+
+        Without this the tasks of one job of long tasks, begun last whenever they begin anew, were stopped together
+        again and again, until it was late by far.
+        """
         known = self._book.active[held.job]
+        spec = known.spec
+        cpus = max(spec.vcpus, spec.cards)
+        if spec.snapshot_every_s > 0:
+            return (spec.snapshot_s + spec.pull_gb) * cpus
         ran = self._ran(held, now)
-        if known.spec.snapshot_every_s > 0:
-            ran = known.spec.snapshot_s
-        return (ran + known.spec.pull_gb) * max(known.spec.vcpus, known.spec.cards)
+        age = max(0.0, self._fx.wall() - known.at) if known.at > 0 else 0.0
+        goes_on = age + max(0.0, spec.expected_s - ran)
+        anew = age + spec.expected_s + self._workers.report_s
+        due = [spec.due_s] if spec.due_s else self._settings.done_within(spec.lineup)
+        late = any(goes_on <= within < anew for within in due)
+        return (ran + spec.pull_gb + (spec.plays * spec.expected_s if late else 0.0)) * cpus
 
     def _victims(self, machine: Machine, want: mesh.Want, need: Need, room: list[float]) -> list[Held] | None:
         """Tasks to stop so that `need` fits; raises `room` accordingly. None: it can't be done."""
--- a/tealhook/settings/platform.py
+++ b/tealhook/settings/platform.py
@@ -93,6 +93,13 @@
         """Mesh address of every other controller by name."""
         return {peer.node: peer.endpoint for peer in self.known if peer.node != self.node}
 
+    def done_within(self, lineup: str) -> list[float]:
+        """Within what times jobs of a class should be done, the shortest first."""
+        return sorted(
+            objective.within_s for objective in self.params.objectives
+            if objective.kind == "finished" and objective.class_ == lineup and objective.within_s
+        )
+
     @property
     def team_names(self) -> list[str]:
         return [team.name for team in self.params.teams]
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -1,6 +1,14 @@
-"""Rounds: nobody is starved."""
+"""Rounds: nobody is starved; who is stopped for others."""
+
+import json
 
 from tealhook.jobs import rounds
+from tealhook.jobs.book import Known
+from tealhook.parts.machine import Held, Machine
+from tealhook.parts.room import Room
+from tealhook.settings.platform import Objective
+from tealhook.wire import mesh, workers
+from tealhook.wire.users import parse_job
 from tests.world import SimJob, World
 
 ALIKE = {"plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True, "pull_gb": 0.6}
@@ -34,3 +42,33 @@
 
     monkeypatch.setattr(rounds.Mappable, "__init__", unaged)
     assert _flooded().started_at is None
+
+
+def _stopped(due_s: float) -> list[str]:
+    """Whose task is stopped for an urgent one: a long job's, begun just now, or a short job's that has run longer."""
+    world = World(1, nodes=1)
+    world.run(10.0)
+    node = world.nodes["n0"]
+    node.settings.params.objectives = [Objective("finished", "x", due_s)]
+    machine = Machine(workers.Report("host-0", "10.1.0.1:9000", "small", "za", 1, 1, 1, True), world.now)
+    for job, expected_s, ran_s in (("req-000001", 100.0, 5.0), ("req-000002", 20.0, 10.0)):
+        spec = parse_job(json.dumps({
+            "name_id": job, "lineup": "x", "crew": "team-0", "shape": "array", "urgency": "standard", "plays": 10,
+            "vcpus": 4.0, "memory_gb": 4.0, "expected_s": expected_s, "loaners": True,
+        }).encode())
+        node.book.active[job] = Known(spec, "team-0", 1, node._fx.wall() - 20.0)
+        held = Held(f"{job}/0", job, 0, 1, "running", None, world.now - ran_s, ran_from=node._fx.now() - ran_s)
+        machine.held[(held.play, 1)] = held
+    room = Room(node._fx, node.settings, 1, node.book, node._types, {}, {"host-0": machine})
+    shape = mesh.Shape(4.0, 0.0, 4.0, "", 0.0, True, (), 2, 20.0)
+    want = mesh.Want("req-000003", "team-1", shape, 1, False, False, [], 1, True, False)
+    return [held.job for held in room._victims(machine, want, (4.0, 0.0, 4.0), [0.0, 0.0, 0.0])]
+
+
+def test_a_task_is_not_stopped_for_others_when_its_job_would_be_late_for_it():
+    """Guards against a job of long tasks that was stopped, with all that it had begun, each time it began anew."""
+    assert _stopped(due_s=118.0) == ["req-000002"]  # 100 s more would not do, what is left of them does
+
+
+def test_of_tasks_with_time_enough_those_that_lose_least_are_stopped():
+    assert _stopped(due_s=1000.0) == ["req-000001"]
