Aged and preempting tasks take free room before they hold any; incident inc-c6ce

Cause: incident inc-c6ce and its log, docs/incidents/inc-c6ce.md: a job's last tasks waited minutes for one part's next room, promised in half a second again and again, beside room that was free elsewhere.

--- a/tealhook/placement/minmin.py
+++ b/tealhook/placement/minmin.py
@@ -72,12 +72,15 @@
 
 def _best_pair(group: Group) -> Choice | None:
     best: Choice | None = None
-    for zone in sorted(group.parts):
+    rooms = {zone: _best_now(group, zone, group.parts[zone]) for zone in sorted(group.parts)}
+    # To hold room or to stop others for it makes sense only where none is free anywhere: a part's next free room
+    # is an estimate, and a job's last task once waited minutes for room that was always about to be free.
+    at_once = (group.aged or group.can_preempt) and any(rooms.values())
+    for zone, now in rooms.items():
         view = group.parts[zone]
-        now = _best_now(group, zone, view)
         if now is not None:
             choice = Choice(group, zone, min(group.count, now[1]), now[0])
-        elif view.next_s < NEVER_S and group.limits.get(zone, group.count) > 0:
+        elif not at_once and view.next_s < NEVER_S and group.limits.get(zone, group.count) > 0:
             fetch = group.image_gb / view.rate if not view.cached else 0.0
             choice = Choice(group, zone, group.count, finish(view, group, view.next_s, fetch), hold=True)
         else:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -97,3 +97,20 @@
         assert taken <= 10.0 + 10.0 * now + 1e-6
     assert taken > 190
     assert bucket.wait(5, now) > 0 and not bucket.take(5, now, keep=6)
+
+
+@pytest.mark.parametrize("kind", ["aged", "can_preempt"])
+def test_what_may_hold_room_takes_what_is_free_first(kind):
+    """Guards against a job's last task that waited for one part's room, always about to be free, beside free room."""
+    soon, later = view(next_s=0.5), view(uncached=3, factor=0.9)
+    [choice] = plan_round([group("a", 1, {"x": soon, "y": later}, **{kind: True})])
+    assert (choice.zone, choice.hold) == ("y", False)
+    assert [(c.zone, c.hold) for c in plan_round([group("a", 1, {"x": view(next_s=0.5)}, **{kind: True})])] == [
+        ("x", True)
+    ]
+
+
+def test_others_wait_for_the_part_with_the_earliest_finish():
+    soon, later = view(next_s=0.5), view(uncached=3, factor=0.9)
+    [choice] = plan_round([group("a", 1, {"x": soon, "y": later})])
+    assert (choice.zone, choice.hold) == ("x", True)
