--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -90,7 +90,7 @@
         self.exits = False  # some task's end is not settled yet
         self.news = True  # something changed since the homes were told
         self.free: list[float] | None = None  # room left, until something changes
-        self.ends: list[tuple[float, float, Need]] | None = None  # since when its tasks run and for how long, as free
+        self.ends: list[tuple[float, Need]] | None = None  # when its tasks should end, until something changes
 
     def touch(self) -> None:
         """Something on the machine changed."""
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -20,7 +20,6 @@
 NEVER_S = 1e9
 MAX_JOBS = 4096
 WORTH_STOPPING = 1.5  # of the run time that a task is stopped for: the most that may be thrown away
-OVERRUN = 0.1  # of what a task has run: believed to be left at the least, also past its estimate
 RATE_WEIGHT = 0.2  # of a measured fetch in the rate learned of a type
 
 
@@ -198,25 +197,21 @@
                 next_s = min(next_s, self._frees_in(machine, need, now))
         return _Fit(open_, next_s, rate)
 
-    def _ends(self, machine: Machine, now: float) -> list[tuple[float, Need]]:
-        """In how many seconds the tasks on a machine should end, by their own estimates, and what each frees.
-
-        One that is past its estimate is not about to end for that: a share of what it has run is taken to be left.
-        """
+    def _ends(self, machine: Machine) -> list[tuple[float, Need]]:
+        """When the tasks on a machine should end, by their own estimates, and what each frees."""
         if machine.ends is None:
             machine.ends = []
             for held in machine.held.values():
                 known = self._book.active.get(held.job)
                 if held.alive and known is not None and not held.yields_to:
-                    machine.ends.append((held.ran_from or held.since, known.spec.expected_s, known.spec.need))
-        return sorted(
-            (max(began + run_s - now, OVERRUN * (now - began)), need) for began, run_s, need in machine.ends
-        )
+                    machine.ends.append(((held.ran_from or held.since) + known.spec.expected_s, known.spec.need))
+            machine.ends.sort()
+        return machine.ends
 
     def empty_in(self, machine: Machine, now: float) -> float:
         """Estimated seconds until what is on a machine has ended."""
-        ends = self._ends(machine, now)
-        left = ends[-1][0] if ends else 0.0
+        ends = self._ends(machine)
+        left = max(0.0, ends[-1][0] - now) if ends else 0.0
         for booking in machine.bookings.values():
             known = self._book.active.get(booking.job)
             left = max(left, known.spec.expected_s if known is not None else 0.0)
@@ -225,11 +220,11 @@
     def _frees_in(self, machine: Machine, need: Need, now: float) -> float:
         """Estimated seconds until a task of `need` would fit."""
         free = list(self.free(machine))
-        for left, freed in self._ends(machine, now):
+        for at, freed in self._ends(machine):
             for i in range(3):
                 free[i] += freed[i]
             if fits(free, need):
-                return left + self._workers.report_s / 2
+                return max(0.0, at - now) + self._workers.report_s / 2
         return NEVER_S
 
     def reserve(self, request: mesh.Reserve) -> mesh.ReserveReply:
