--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -41,7 +41,7 @@
     """Within what time waiting work of a class should be worked off, by the operators' objectives."""
 
     def __init__(self, settings: Settings, boot_s: float) -> None:
-        self._settings = settings
+        self._within = {lineup: within[0] for lineup, within in settings.done_within().items()}
         self._boot_s = boot_s
 
     def seconds(self, lineup: str, urgent: bool, late: bool = False) -> float:
@@ -53,8 +53,7 @@
         slack = LATE_SLACK if late else 1.0
         if urgent:
             return slack * URGENT_BOOTS * self._boot_s
-        within = min(self._settings.done_within(lineup), default=12 * self._boot_s)
-        return slack * max(self._boot_s, within / 3)
+        return slack * max(self._boot_s, self._within.get(lineup, 12 * self._boot_s) / 3)
 
 
 def backlog_cpus(types: dict[str, MachineType], demand: Demand, horizon: Horizon, late: bool = False) -> float:
@@ -68,7 +67,7 @@
 
 
 class DemandHistory:
-    """What was taken lately, smoothed over several boots, and its peak."""
+    """What was taken lately, smoothed, and its peak."""
 
     def __init__(self, boot_s: float) -> None:
         self._span = WINDOW_BOOTS * boot_s
--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -86,7 +86,7 @@
         self._homes = homes
         self._behind = behind  # whether something placed waits for tokens to be made durable
         self._commit_soon = commit_soon
-        self._settings = settings
+        self._done_within = settings.done_within()
         self._workers = settings.params.workers
         self._guarantee_s = min(
             (o.within_s for o in settings.params.objectives if o.kind == "guarantee" and o.within_s),
@@ -187,7 +187,7 @@
 
         By the owner's estimate, which is often too high: a quarter of it is not believed.
         """
-        due = job.spec.due_s or max(self._settings.done_within(job.spec.lineup), default=math.inf)
+        due = job.spec.due_s or max(self._done_within.get(job.spec.lineup, ()), default=math.inf)
         return now + 0.75 * job.spec.expected_s > job.since + due
 
     def _limits(self, job: Job, zones: list[str]) -> dict[str, int]:
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -219,8 +219,7 @@
             if known is None or not held.alive or key in machine.kills:
                 continue
             spec = known.spec
-            ends_at = (held.ran_from or now) + spec.expected_s
-            if held.ran_from and ends_at <= now or ends_at <= now + left_s:
+            if (held.ran_from or now) + spec.expected_s <= now + left_s:
                 continue  # it may well end in time; so may one that is past its estimate
             saves = spec.snapshot_every_s > 0 and spec.snapshot_s < left_s
             machine.kills[key] = spec.snapshot_s if saves else 0.0
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -42,7 +42,7 @@
         over: dict[str, float], machines: dict[str, Machine],
     ) -> None:
         self._fx = effects
-        self._settings = settings
+        self._done_within = settings.done_within()
         self._workers = settings.params.workers
         self._token = token
         self._book = book
@@ -353,7 +353,7 @@
         age = max(0.0, self._fx.wall() - known.at) if known.at > 0 else 0.0
         goes_on = age + max(0.0, spec.expected_s - ran)
         anew = age + spec.expected_s + self._workers.report_s
-        due = [spec.due_s] if spec.due_s else self._settings.done_within(spec.lineup)
+        due = [spec.due_s] if spec.due_s else self._done_within.get(spec.lineup, ())
         late = any(goes_on <= within < anew for within in due)
         return (ran + spec.pull_gb + (spec.plays * spec.expected_s if late else 0.0)) * cpus
 
--- a/tealhook/settings/platform.py
+++ b/tealhook/settings/platform.py
@@ -93,12 +93,13 @@
         """Mesh address of every other controller by name."""
         return {peer.node: peer.endpoint for peer in self.known if peer.node != self.node}
 
-    def done_within(self, lineup: str) -> list[float]:
-        """Within what times jobs of a class should be done, the shortest first."""
-        return sorted(
-            objective.within_s for objective in self.params.objectives
-            if objective.kind == "finished" and objective.class_ == lineup and objective.within_s
-        )
+    def done_within(self) -> dict[str, list[float]]:
+        """For each class within what times its jobs should be done, the shortest first."""
+        found: dict[str, list[float]] = {}
+        for objective in sorted(self.params.objectives, key=lambda objective: objective.within_s or 0.0):
+            if objective.kind == "finished" and objective.class_ and objective.within_s:
+                found.setdefault(objective.class_, []).append(objective.within_s)
+        return found
 
     @property
     def team_names(self) -> list[str]:
--- a/tealhook/settings/policy.py
+++ b/tealhook/settings/policy.py
@@ -24,9 +24,9 @@
     "limit": "CPUs all teams together may use; 0: no limit",
     "used": "CPUs taken by tasks now",
     "demand": "CPUs taken by tasks, and those that would work off the waiting ones in time",
-    "urgent": "CPUs taken by tasks above standard urgency, smoothed over several boots",
-    "peak": "most CPUs taken within the last few boots",
-    "mean": "CPUs taken, smoothed over several boots",
+    "urgent": "CPUs taken by tasks above standard urgency, smoothed over a boot",
+    "peak": "most CPUs taken within the last boot",
+    "mean": "CPUs taken, smoothed over a boot",
     "machine": "CPUs of the largest type on offer",
 }
 FUNCTIONS: dict[str, Callable[..., float]] = {
