--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -219,13 +219,13 @@
             if known is None or not held.alive or key in machine.kills:
                 continue
             spec = known.spec
-            if (held.ran_from or now) + self.room.run_s(spec) <= now + left_s:
+            if (held.ran_from or now) + spec.expected_s <= now + left_s:
                 continue  # it may well end in time; so may one that is past its estimate
             saves = spec.snapshot_every_s > 0 and spec.snapshot_s < left_s
             machine.kills[key] = spec.snapshot_s if saves else 0.0
         for booking in machine.open_bookings():
             known = self._book.active.get(booking.job)
-            if booking.launching and not booking.sends and known is not None and self.room.run_s(known.spec) > left_s:
+            if booking.launching and not booking.sends and known is not None and known.spec.expected_s > left_s:
                 self.room.drop_booking(machine, booking)
 
     def _status_change(self, machine: Machine, held: Held, play: wire.Play, now: float) -> None:
@@ -244,8 +244,6 @@
                     machine.name, held.since - held.booked_at, held.ran_from - held.since, now - held.ran_from,
                 )
             if play.cause == "done":
-                if known is not None and held.ran_from:
-                    self.room.learn_run(known.spec, now - held.ran_from)
                 machine.failed_jobs.clear()
                 self._job_errors.pop(held.job, None)
             elif play.cause == "error":
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -14,15 +14,12 @@
 from tealhook.settings import Settings
 from tealhook.wire import mesh
 from tealhook.wire.cloud import MachineType
-from tealhook.wire.users import URGENCY_RANK, JobSpec
+from tealhook.wire.users import URGENCY_RANK
 from tealhook.wire.workers import EXITED
 
 NEVER_S = 1e9
 MAX_JOBS = 4096
 WORTH_STOPPING = 1.5  # of the run time that a task is stopped for: the most that may be thrown away
-MAX_CLASSES = 256
-MOST_BIAS = 4.0  # the most, or the least, that an estimate is believed to be off
-BIAS_WEIGHT = 0.02  # of one task's run in what is learned of its class
 RATE_WEIGHT = 0.2  # of a measured fetch in the rate learned of a type
 
 
@@ -55,7 +52,6 @@
         self._home_tokens: dict[str, int] = {}
         self._rid = effects.rng.getrandbits(40) << 20
         self._rates: dict[str, float] = {}
-        self._bias: dict[str, float] = {}  # class -> how long its tasks really run, in units of their estimates
         # Inquiries come several times a report period, from every home, for every waiting job: what they
         # have in common is worked out once, and kept while nothing changes.
         self._fits: dict[tuple, _Fit] = {}
@@ -127,21 +123,6 @@
         if seen < 2 * rig.pull_gb_per_s:
             self._rates[rig.name] = rate + RATE_WEIGHT * (seen - rate)
 
-    def run_s(self, spec: JobSpec) -> float:
-        """How long a task should run: its owner's estimate, as those of its class have proved lately.
-
-        On some days estimates are mostly too high or mostly too low, by half and more.
-        """
-        return spec.expected_s * self._bias.get(spec.lineup, 1.0)
-
-    def learn_run(self, spec: JobSpec, ran_s: float) -> None:
-        """A task has ended by itself."""
-        seen = min(MOST_BIAS, max(1 / MOST_BIAS, ran_s / max(spec.expected_s, 0.1)))
-        known = self._bias.get(spec.lineup, 1.0)
-        self._bias[spec.lineup] = known + BIAS_WEIGHT * (seen - known)
-        if len(self._bias) > MAX_CLASSES:
-            self._bias.pop(next(iter(self._bias)))
-
     # -- reservations
 
     def raise_home(self, team: str, home_token: int) -> bool:
@@ -217,13 +198,13 @@
         return _Fit(open_, next_s, rate)
 
     def _ends(self, machine: Machine) -> list[tuple[float, Need]]:
-        """When the tasks on a machine should end, and what each frees."""
+        """When the tasks on a machine should end, by their own estimates, and what each frees."""
         if machine.ends is None:
             machine.ends = []
             for held in machine.held.values():
                 known = self._book.active.get(held.job)
                 if held.alive and known is not None and not held.yields_to:
-                    machine.ends.append(((held.ran_from or held.since) + self.run_s(known.spec), known.spec.need))
+                    machine.ends.append(((held.ran_from or held.since) + known.spec.expected_s, known.spec.need))
             machine.ends.sort()
         return machine.ends
 
@@ -233,7 +214,7 @@
         left = max(0.0, ends[-1][0] - now) if ends else 0.0
         for booking in machine.bookings.values():
             known = self._book.active.get(booking.job)
-            left = max(left, self.run_s(known.spec) if known is not None else 0.0)
+            left = max(left, known.spec.expected_s if known is not None else 0.0)
         return left
 
     def _frees_in(self, machine: Machine, need: Need, now: float) -> float:
@@ -370,9 +351,8 @@
             return (spec.snapshot_s + spec.pull_gb) * cpus
         ran = self._ran(held, now)
         age = max(0.0, self._fx.wall() - known.at) if known.at > 0 else 0.0
-        run_s = self.run_s(spec)
-        goes_on = age + max(0.0, run_s - ran)
-        anew = age + run_s + self._workers.report_s
+        goes_on = age + max(0.0, spec.expected_s - ran)
+        anew = age + spec.expected_s + self._workers.report_s
         due = [spec.due_s] if spec.due_s else self._done_within.get(spec.lineup, ())
         late = any(goes_on <= within < anew for within in due)
         return (ran + spec.pull_gb + (spec.plays * spec.expected_s if late else 0.0)) * cpus
