Tests: the run of one seed under two orders of sets shows the fault it guards against

Read once more: seed 0 at that length goes the same way with the old order of a set, so the test could not fail. An always true half of an assertion is gone: the run itself ends before the lease does.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -102,14 +102,13 @@
     owner = next(name for name, node in world.nodes.items() if worker.yard in node.parts.parts)
     fleet = next(name for name, node in world.nodes.items() if node.fleet._token is not None)
     world.run(12.0)  # the cloud lists it by now
-    gone: list[float] = []
+    gone: list[float] = []  # when a home was told of it
     for node in world.nodes.values():
         node.homes.gone = lambda names, whole=node.homes.gone: (
             gone.append(world.now) if worker.name in names else None, whole(names)
         )
     world.cloud.remove(worker.name)
-    at = world.now
     assert owner != fleet
     world.crash(owner, 0.2)
     world.run(27.0)
-    assert gone and gone[0] - at < 27.0
+    assert gone
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -40,7 +40,7 @@
 logging.disable(logging.CRITICAL)
 whole, trace = World.at, []
 World.at = lambda self, delay, call: trace.append((self.now, delay)) or whole(self, delay, call)
-random_run(0, seconds=100.0, guarantee=0.0, slowest=0.25, lossy=0.3)
+random_run(2, seconds=100.0, guarantee=0.0, slowest=0.25, lossy=0.3)
 print(len(trace), hash(tuple(trace)))
 """
 
