--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -105,6 +105,7 @@
         self._held: dict[str, int] = {}  # what the listener was told that we own
         self.listener: Callable[[str, int | None], Any] = lambda key, token: None
         self.reachable: Callable[[str], bool] = lambda node: True
+        self._stranded_at: float | None = None  # since when no owner of a part can be reached
         self.watcher = Watcher(
             effects, store, OWN, settings.params.workers.lease_s / 12, self._on_rows, self._on_events
         )
@@ -276,9 +277,10 @@
         live = self.live()
         plan = share_out(self._wanted | {k for k in self._rows if not k.startswith(NODE)}, live)
         now = self._fx.now()
+        stranded = self._stranded(now)
         claims = []
         for key, node in plan.items():
-            if key in self._rows:
+            if key in self._rows or stranded and key.startswith(HOME):
                 continue
             # Another's turn: only when it leaves the key lying for longer than its grant would have lasted.
             if node == self.node or now - self._absent_since.get(key, now) > self.ttl_s:
@@ -286,7 +288,7 @@
         if claims:
             self._write(claims[: max(1, min(self._store.txn_ops - 1, 8))])
             return
-        self._give_up(plan, now)
+        self._give_up(plan, now, stranded)
 
     def _write(self, keys: list[str]) -> None:
         self._busy = True
@@ -313,14 +315,28 @@
 
         self._store.txn(when, [wire.put(key, value, hold) for key in keys], Priority.RENEW, done)
 
-    def _give_up(self, plan: dict[str, str], now: float) -> None:
+    def _stranded(self, now: float) -> bool:
+        """Whether no part can be reached from here for a while, so that a home could place nothing.
+
+        Nobody is taken for dead by it: another node, that sees the key lying, claims the home.
+        """
+        owners = [row.node for key, row in self._rows.items() if key.startswith(PART)]
+        if not owners or any(self.reachable(node) for node in owners):
+            self._stranded_at = None
+            return False
+        if self._stranded_at is None:
+            self._stranded_at = now
+        return now - self._stranded_at > self.ttl_s / 2
+
+    def _give_up(self, plan: dict[str, str], now: float, stranded: bool) -> None:
         """Hand one key to a returned node, calmly: it must have stood for a while, and so must we."""
         if not self.settled or now - self._gave_up_at < self.ttl_s / 2:
             return
         for key, token in list(self._held.items()):
-            if plan.get(key, self.node) != self.node and self.reachable(plan[key]):
+            leaving = stranded and key.startswith(HOME)
+            if leaving or plan.get(key, self.node) != self.node and self.reachable(plan[key]):
                 self._gave_up_at = now
-                log.info("giving up %s to %s", key, plan[key])
+                log.info("giving up %s to %s", key, "whoever reaches a part" if leaving else plan[key])
                 # Not as bookkeeping: that waits while assignments use up the budget, as they do on a node that
                 # has taken over everything, and it would keep everything.
                 self._store.txn({key: token}, [wire.drop(key)], Priority.ADMIT, lambda outcome, epoch, failed: None)
--- /dev/null
+++ b/tests/test_hearing.py
@@ -0,0 +1,157 @@
+"""Machines that report but do not hear, late copies of reports, and peers that refuse one another."""
+
+import pytest
+
+from tealhook.controller import Controller
+from tealhook.http import Request
+from tealhook.parts.keeper import PartKeeper
+from tealhook.parts.part import Part
+from tests.world import Broken, World
+
+ALIKE = {
+    "plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
+    "urgency": "standard",
+}
+
+
+def _busy(seed: int, **over) -> World:
+    world = World(seed, limit=64.0, **over)
+    for i in range(30):
+        world.at(3.0 * i, lambda: world.submit(plays=8, vcpus=2.0, expected_s=6.0, **ALIKE))
+    world.run(40.0)
+    return world
+
+
+def _deaf(seconds: float) -> tuple[World, str]:
+    world = _busy(21)
+    name = max(world.cloud.machines, key=lambda name: len(world.cloud.machines[name].on_machine()))
+    world.network.deaf.add(name)
+    world.at(seconds, world.network.deaf.clear)
+    world.run(120.0)
+    return world, name
+
+
+@pytest.mark.parametrize("leases", [0.5, 2.5, 100.0])
+def test_a_machine_that_does_not_hear_gets_nothing_more(leases):
+    """Guards against a machine that swallowed launches for ever: its reports proved each time that the tasks were
+    not there, so that they were placed again, on the same machine, which had the most room."""
+    lease_s = 9.0
+    world, name = _deaf(leases * lease_s)
+    assert world.unfinished() == []
+    assert world.network.swallowed <= 24  # what was on its way, three times
+    if leases > 10:
+        assert name not in world.cloud.machines
+
+
+def test_not_to_notice_deaf_machines_is_found_out(monkeypatch):
+    monkeypatch.setattr(Part, "_deaf", lambda self, machine, now: None)
+    world, _name = _deaf(900.0)
+    assert world.network.swallowed > 24
+
+
+def _report(controller: Controller, body: bytes) -> int:
+    statuses = []
+    request = Request("POST", "/v1/report", {}, True)
+    request.body = body
+    controller.on_request(request, lambda status, data=b"{}", retry_after=None: statuses.append(status))
+    return statuses[0] if statuses else 0
+
+
+def _copies(world: World) -> tuple[Controller, str, list[bytes]]:
+    """The owner of a machine, the machine, and copies of its reports."""
+    copies: list[tuple[str, bytes]] = []
+    whole = PartKeeper.report
+
+    def report(self, body, reply, *, relayed=False):
+        copies.append((self._own.node, body))
+        whole(self, body, reply, relayed=relayed)
+
+    PartKeeper.report = report
+    try:
+        world.run(10.0)
+    finally:
+        PartKeeper.report = whole
+    node, zone = next((n, z) for n in world.nodes for z, p in world.nodes[n].parts.parts.items() if p.machines)
+    name = next(iter(world.nodes[node].parts.parts[zone].machines))
+    return world.nodes[node], name, [b for n, b in copies if n == node and f'"{name}"'.encode() in b]
+
+
+def test_a_late_copy_is_no_news_and_no_sign_of_life():
+    owner, name, copies = _copies(world := _busy(22))
+    part = next(p for p in owner.parts.parts.values() if name in p.machines)
+    machine = part.machines[name]
+    world.cloud.machines[name].hung = True
+    world.run(3.0)
+    before = (machine.heard_at, machine.tick, machine.shift, set(machine.held), set(machine.bookings))
+    told = []
+    part._tell = lambda team, news: told.append(news)
+    assert len(copies) > 3
+    for body in copies:
+        _report(owner, body)
+    assert before == (machine.heard_at, machine.tick, machine.shift, set(machine.held), set(machine.bookings))
+    assert told == []
+
+
+@pytest.mark.parametrize("broken", [False, True])
+def test_a_late_copy_brings_no_released_machine_back(broken, monkeypatch):
+    if broken:
+        monkeypatch.setattr(PartKeeper, "MAX_GONE", 0, raising=False)
+        monkeypatch.setattr("tealhook.parts.keeper.MAX_GONE", 0)
+    owner, name, copies = _copies(world := _busy(23))
+    world.cloud.remove(name)
+    for node in world.nodes.values():
+        node.parts.forget(name)
+    for body in copies:
+        _report(owner, body)
+    assert any(name in part.machines for part in owner.parts.parts.values()) == broken
+
+
+def test_a_new_owner_counts_on_nothing_known_from_a_copy():
+    """A restarted owner has no memory of releases; a copy can't carry its token, and so is not counted on."""
+    owner, name, copies = _copies(world := _busy(24))
+    world.cloud.remove(name)
+    restarted = next(n for n, node in world.nodes.items() if node is owner)
+    world.crash(restarted, 0.2)
+    world.run(8.0)
+    for node in world.nodes.values():
+        for body in copies:
+            _report(node, body)
+        for part in node.parts.parts.values():
+            assert name not in [state.name for state in part.states()]
+            assert name not in [machine.name for machine in part.room._usable()]
+
+
+def test_work_goes_on_while_controllers_refuse_one_another():
+    world = _busy(25)
+    for one in world.names:
+        for other in world.names:
+            if one != other:
+                world.network.cut(one, other)
+    world.network.hold = False
+    world.run(12.0)  # time for a home to move to a node that reaches a part
+    jobs = [
+        world.submit(crew=f"team-{team}", plays=2, vcpus=1.0, expected_s=3.0, **ALIKE) for team in range(3)
+    ]
+    world.run(45.0)
+    assert [world.jobs[job].final for job in jobs] == ["done"] * 3
+
+
+def test_every_accepted_job_is_answered_for_after_the_troubles():
+    """One by one, also those long over."""
+    world = _busy(26)
+    world.run(60.0)
+    for name in world.names:
+        world.crash(name, 0.2)
+    world.run(20.0)
+    answered: dict[str, str] = {}
+    for job, known in world.jobs.items():
+        if known.accepted:
+            def answer(status, data, asked, job=job):
+                if status == 200:
+                    answered[job] = data["status"]
+
+            world.ask("GET", f"/work/{job}", None, answer)
+    world.run(5.0)
+    assert answered.keys() == {job for job, known in world.jobs.items() if known.accepted}
+    if any(known.final and known.final != answered[job] for job, known in world.jobs.items()):
+        raise Broken("went_back")
