--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -25,6 +25,7 @@
 
 Reply = Callable[..., Any]
 MAX_ZONES = 256
+FORWARD_S = 0.8  # a user waits 2 s for the answer to a poll
 USAGE_LEASES = 4.0  # so long the last word of a home's owner stands, while it owns the home
 BEGIN_S = 240.0  # the users' rule: every job begins within four minutes
 
@@ -76,21 +77,53 @@
         if path == "/v1/report":
             if self._method(request, "POST", reply):
                 self.parts.report(request.body, reply)
-        elif path == "/work":
-            if self._method(request, "POST", reply):
-                self.admission.submit(request.body, reply)
         elif path == "/healthz":
             if self._method(request, "GET", reply):
                 self._healthz(reply)
-        elif path.startswith("/work/"):
+        elif path == "/work" or path.startswith("/work/"):
+            helper = self._helper()
+            if helper is None:
+                self._on_user(request, reply)
+                return
+
+            def answered(answer: Any) -> None:
+                if isinstance(answer, wire.ForwardReply):
+                    reply(answer.status, answer.body, answer.after)
+                else:
+                    self._on_user(request, reply)
+
+            self.mesh.call(
+                helper, wire.Forward(request.method, request.target, request.body), FORWARD_S, answered
+            )
+        else:
+            reply(404, error_body("no such path"))
+
+    def _helper(self) -> str | None:
+        """The peer to decide users' requests while the state service serves it, but not us.
+
+        A user that we refuse would be back only after a second, and perhaps with us again.
+        """
+        if self.store.served:
+            return None
+        now = self._fx.now()
+        fresh = [
+            (at, peer) for peer, at in self._peer_state.items()
+            if now - at < self._workers.lease_s / 4 and self._reachable(peer)
+        ]
+        return max(fresh)[1] if fresh else None
+
+    def _on_user(self, request: Request, reply: Reply) -> None:
+        path = request.target.split("?", 1)[0]
+        if path == "/work":
+            if self._method(request, "POST", reply):
+                self.admission.submit(request.body, reply)
+        else:
             job = path[len("/work/"):]
             if job.endswith("/abort"):
                 if self._method(request, "POST", reply):
                     self.admission.cancel(job[: -len("/abort")], reply)
             elif self._method(request, "GET", reply):
                 self.admission.show(job, reply)
-        else:
-            reply(404, error_body("no such path"))
 
     @staticmethod
     def _method(request: Request, method: str, reply: Reply) -> bool:
@@ -252,21 +285,26 @@
                 self.parts.report(
                     report, lambda status, data, after=None: reply(wire.RelayReply(status, data)), relayed=True
                 )
+            case wire.Forward():
+                request = Request(body.method, body.target, {}, True)
+                request.body = body.body
+                self._on_user(request, lambda status, data=b"{}", after=None: reply(
+                    wire.ForwardReply(status, data, after)))
             case wire.Ask() | wire.Reserve() | wire.Launch() | wire.Look() | wire.Stop() | wire.Drain():
-                self._on_part_message(body, reply)
+                self._on_part_message(sender, body, reply)
             case _:
                 reply(wire.No("not a request"))
 
-    def _on_part_message(self, body: Any, reply: Callable[[Any], None]) -> None:
+    def _on_part_message(self, sender: str, body: Any, reply: Callable[[Any], None]) -> None:
         part = self.parts.parts.get(body.zone)
         if part is None:
             reply(wire.No("not the owner"))
             return
         match body:
             case wire.Ask():
-                reply(part.room.ask(body.shapes))
+                reply(part.room.ask(body, sender))
             case wire.Reserve():
-                reply(part.room.reserve(body))
+                reply(part.room.reserve(body, sender))
             case wire.Launch():
                 # Reservations are numbered per owner: one made under another token is refused.
                 reply(part.launch(body) if body.token == part.token else wire.LaunchReply(
--- a/tealhook/placement/minmin.py
+++ b/tealhook/placement/minmin.py
@@ -124,9 +124,20 @@
                 break
             best = min(pairs, key=lambda pair: (pair.finish_s, pair.group.job, pair.zone))
             if best.hold:
-                # Nothing of this group can start where it would finish first: its tasks wait for that.
+                # Nothing of this group can start where it would finish first: a task waits for that, and the
+                # part's next free room is spoken for. Without this update every group would wait for the same
+                # room, each with all of its tasks, while other room lies free.
+                if best.group.aged or best.group.can_preempt:
+                    open_groups.remove(best.group)
+                else:
+                    best.count = 1
+                    best.group.count -= 1
+                    if best.group.count <= 0:
+                        open_groups.remove(best.group)
                 choices.append(best)
-                open_groups.remove(best.group)
+                for group in groups:
+                    if best.zone in group.parts:
+                        group.parts[best.zone].next_s = NEVER_S
                 continue
             choices.append(best)
             _take(best.group, best, groups)
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -28,11 +28,21 @@
     rate: float
 
 
+class Claim(msgspec.Struct, array_like=True):
+    """What waits behind an inquiry: `count` tasks of the inquiry's shape number `shape`; `order`: lower goes first."""
+
+    shape: int
+    count: int
+    order: tuple[float, ...]
+
+
 class Ask(msgspec.Struct, tag="ask"):
-    """Inquiry for a part's earliest free time."""
+    """Inquiry for a part's earliest free time, made at `parts` parts at once."""
 
     zone: str
     shapes: list[Shape]
+    claims: list[Claim]
+    parts: int
 
 
 class AskReply(msgspec.Struct, tag="ask_r"):
@@ -52,6 +62,7 @@
     avoid: list[str]
     home_token: int
     preempt: bool
+    order: tuple[float, ...]  # as in claims
     firm: bool  # not to be stopped for others: the first task of a job that has waited for long
 
 
@@ -228,6 +239,20 @@
     body: bytes
 
 
+class Forward(msgspec.Struct, tag="forward"):
+    """A user's request taken by a node that the state service does not serve, for one that it does."""
+
+    method: str
+    target: str
+    body: bytes
+
+
+class ForwardReply(msgspec.Struct, tag="forward_r"):
+    status: int
+    body: bytes
+    after: int | None
+
+
 class Ok(msgspec.Struct, tag="ok"):
     pass
 
@@ -240,7 +265,7 @@
 
 Body = (
     Ask | AskReply | Reserve | ReserveReply | Launch | LaunchReply | MachineNews | Look | LookReply | Stop
-    | Fence | Gone | Drain | Gossip | Relay | RelayReply | Ok | No
+    | Fence | Gone | Drain | Gossip | Relay | RelayReply | Forward | ForwardReply | Ok | No
 )
 
 
--- a/tests/test_user.py
+++ b/tests/test_user.py
@@ -6,6 +6,7 @@
 from tealhook.cli import main
 from tealhook.http import HttpServer
 from tealhook.loop import Loop
+from tests.world import World
 
 
 def test_submit_comes_back_when_told_to_and_show_and_cancel_answer(tmp_path, capsys):
@@ -43,3 +44,27 @@
         ("GET", "/work/req-2"),
     ]
     assert asked[1][2] == b'{"name_id": "req-1"}'
+
+
+def test_a_node_without_the_state_service_lets_a_peer_decide():
+    """Guards against submissions refused by the one node that the state service does not serve."""
+    world = World(31)
+    world.run(20.0)
+    world.state.refuses = {"n0"}
+    world.run(3.0)
+    spec = {
+        "name_id": "req-forwarded", "lineup": "x", "crew": "team-0", "shape": "array", "urgency": "standard",
+        "plays": 1, "vcpus": 1.0, "memory_gb": 1.0, "loaners": True, "expected_s": 1.0,
+    }
+    answers = []
+
+    def ask(method: str, target: str, body: bytes | None = None) -> None:
+        world.network.to_node("users", "n0", method, target, body, lambda status, data: answers.append(status))
+        world.run(0.9)
+
+    ask("POST", "/work", json.dumps(spec).encode())
+    ask("GET", "/work/req-forwarded")
+    ask("GET", "/work/req-unknown")
+    ask("POST", "/work", b"{}")
+    ask("POST", "/work/req-forwarded/abort")
+    assert answers == [201, 200, 404, 400, 200]
