--- a/tests/test_user.py
+++ b/tests/test_user.py
@@ -4,7 +4,7 @@
 import threading
 
 from tealhook.cli import main
-from tealhook.http import HttpServer
+from tealhook.http import HttpServer, Request
 from tealhook.loop import Loop
 from tests.world import World
 
@@ -68,3 +68,34 @@
     ask("POST", "/work", b"{}")
     ask("POST", "/work/req-forwarded/abort")
     assert answers == [201, 200, 404, 400, 200]
+
+
+def test_bad_input_is_refused_as_ever_and_a_repeat_of_an_accepted_job_never():
+    world = World(32)
+    world.run(20.0)
+    node = world.nodes["n0"]
+    spec = {
+        "name_id": "req-large", "lineup": "x", "crew": "team-0", "shape": "array", "urgency": "standard", "plays": 1,
+        "vcpus": 16.0, "memory_gb": 1.0, "loaners": True, "expected_s": 400.0, "rigs": ["large"],
+    }
+
+    def submit(**over) -> tuple[int, int | None, float]:
+        answers = []
+        request = Request("POST", "/work", {}, True)
+        request.body = json.dumps(spec | over).encode()
+        asked = world.now
+        node.on_request(request, lambda status, data=b"{}", after=None: answers.append(
+            (status, after, world.now - asked)))
+        world.run(1.5)
+        return answers[0]
+
+    assert submit(plays=0)[0] == submit(urgency="soon")[0] == 400
+    assert submit(crew="nobody")[0] == submit(vcpus=25.0)[0] == submit(vcpus=20.0, crew="team-1")[0] == 422
+    assert submit()[0] == 201
+    node._types.pop("large")  # the cloud offers it no more
+    assert submit(name_id="req-other")[0] == 422
+    assert submit()[0] == 200
+    world.state.outage(True)
+    world.run(2.0)
+    status, after, took = submit(name_id="req-third", rigs=None, vcpus=1.0)
+    assert status == 503 and after >= 1 and took < 0.2
