Work per look, inquiry and reservation follows what changed, not the whole fleet

Looks name the news that a home has, and only what it lacks is sent; what fits a machine is kept with the machine; losses of victims are worked out once. Random runs: controllers stand still, machines hang past their lease.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -542,9 +542,12 @@
         # then the room on them is paid for in vain. One that still has tasks gets no more of them: otherwise what
         # is left to do would stay spread thinly over all machines, and none of them would ever be idle.
         taken = 0.0
+        lasted: dict[float, float] = {}  # by price: a fleet has hundreds of machines, but few prices
         for _dear, _empty, cost, _name, box, rig in sorted(spare):
             patience = idle_return_s * (cheapest / -cost if cost < 0 else 1.0)
-            lasting = min(spare_cpus for at, spare_cpus in self._surplus if at >= now - patience)
+            if cost not in lasted:
+                lasted[cost] = min(spare_cpus for at, spare_cpus in self._surplus if at >= now - patience)
+            lasting = lasted[cost]
             if lasting - taken < rig.vcpus or now - self._began < patience:
                 continue
             taken += rig.vcpus
--- a/tealhook/http/parser.py
+++ b/tealhook/http/parser.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import re
+
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024
 MAX_CHUNK_LINE = 1024
-_TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 
 
 class HttpError(Exception):
@@ -45,15 +47,11 @@
         self.keep_alive = keep_alive
 
 
-def _is_token(text: str) -> bool:
-    return bool(text) and all(ord(char) < 128 and ord(char) in _TOKEN for char in text)
-
-
 def _parse_headers(lines: list[str]) -> dict[str, str]:
     headers: dict[str, str] = {}
     for line in lines:
         name, colon, value = line.partition(":")
-        if not colon or not _is_token(name):
+        if not colon or not _TOKEN.fullmatch(name):
             raise HttpError(400, "malformed header")
         name = name.lower()
         value = value.strip(" \t")
@@ -146,7 +144,7 @@
     @staticmethod
     def _request_line(line: str, headers: dict[str, str]) -> Request:
         parts = line.split(" ")
-        if len(parts) != 3 or not _is_token(parts[0]):
+        if len(parts) != 3 or not _TOKEN.fullmatch(parts[0]):
             raise HttpError(400, "malformed request line")
         if parts[2] not in ("HTTP/1.1", "HTTP/1.0"):
             raise HttpError(505 if parts[2].startswith("HTTP/") else 400, "unknown version")
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -163,6 +163,7 @@
         if order <= home.news_at.get(news.machine, (0, 0)):
             return
         home.news_at[news.machine] = order
+        home.strays.pop(news.machine, None)
         shown: set[tuple[str, int]] = set()
         stops: list[tuple[str, str, int, int, float]] = []
         for seen in news.seen:
@@ -178,6 +179,8 @@
                 else:
                     stops.append((news.machine, seen.job, seen.index, seen.attempt, -1.0))
             elif seen.status != "launching":
+                # The kill may be lost on its way: the machine is looked at until it is rid of the task.
+                home.strays[news.machine] = news.zone
                 stops.append((news.machine, seen.job, seen.index, seen.attempt, 0.0))
         for team, job_id, index in sorted(self._on_machine.get(news.machine, ())):
             if team != news.team:
@@ -281,6 +284,7 @@
         for name in machines:
             for home in self.homes.values():
                 home.news_at.pop(name, None)
+                home.strays.pop(name, None)
             for team, job_id, index in sorted(self._on_machine.get(name, ())):
                 home = self.homes.get(team)
                 job = home.jobs.get(job_id) if home else None
@@ -312,18 +316,25 @@
                 self._look(home)
 
     def _look(self, home: TeamHome) -> None:
-        zones: dict[str, set[str]] = {}
+        zones: dict[str, dict[str, int]] = {}
+        for machine, zone in home.strays.items():
+            zones.setdefault(zone, {})[machine] = 0
         for job in home.jobs.values():
             for attempt in job.attempts.values():
-                zones.setdefault(attempt.zone, set()).add(attempt.machine)
-        for zone, machines in sorted(zones.items()):
+                heard = zones.setdefault(attempt.zone, {})
+                token, seq = home.news_at.get(attempt.machine, (0, 0))
+                if attempt.status == "assigned" or token != self._own.token(part_key(attempt.zone)):
+                    seq = 0  # not settled yet: what the machine lacks is asked for, however old it is
+                heard[attempt.machine] = min(seq, heard.get(attempt.machine, seq))
+        for zone, heard in sorted(zones.items()):
             owner = self._own.owner(part_key(zone))
             if owner is None:
                 continue
-            names = sorted(machines)
+            names = sorted(heard)
             asked = self._fx.now()
             self._mesh.call(
-                owner, wire.Look(zone, home.team, home.token, names), self._workers.report_s,
+                owner, wire.Look(zone, home.team, home.token, names, [heard[name] for name in names]),
+                self._workers.report_s,
                 lambda reply, names=names, asked=asked: self._looked(home, names, asked, reply),
             )
 
--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -33,6 +33,7 @@
         self.jobs: dict[str, Job] = {}
         self.factors: dict[str, Feedback] = {}
         self.news_at: dict[str, tuple[int, int]] = {}  # machine -> newest (token, seq) of its part's owner
+        self.strays: dict[str, str] = {}  # machines that run tasks we gave up, and their zones
         self.guarantee = 0.0
         self.limit = 0.0
         self.gpus_limit = 0.0
--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -85,17 +85,19 @@
         self.clears: set[tuple[str, int]] = set()
         self.images: OrderedDict[str, float] = OrderedDict()
         self.failed_jobs: set[str] = set()
-        self.told: dict[str, tuple] = {}  # what each home's owner was last told, and when
+        self.told: dict[str, tuple] = {}  # what each home's owner was last told, when, and its number
         self.hold_for: tuple[str, float] | None = None  # an aged job that holds the room, until when
         self.exits = False  # some task's end is not settled yet
         self.news = True  # something changed since the homes were told
         self.free: list[float] | None = None  # room left, until something changes
         self.ends: list[tuple[float, Need]] | None = None  # when its tasks should end, until something changes
+        self.fits: dict[Need, tuple[int, float]] = {}  # tasks of a need that fit, or from when; likewise
 
     def touch(self) -> None:
         """Something on the machine changed."""
         self.news = True
         self.free = self.ends = None
+        self.fits.clear()
 
     def usable(self, now: float, patience: float) -> bool:
         """Whether a task given now would start within a report period, as far as can be known."""
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -371,8 +371,8 @@
             settled = not exits or last is None or now - last[1] < 2 * self._workers.report_s
             if last is not None and last[0] == content and team != force and settled:
                 continue
-            machine.told[team] = (content, now)
             self._seq += 1
+            machine.told[team] = (content, now, self._seq)
             self._tell(team, mesh.MachineNews(
                 self.zone, team, self.token, self._seq, machine.name, machine.shift, machine.tick, seen
             ))
@@ -395,11 +395,19 @@
         return mesh.LookReply(self.token, self._seq, silent, now - self.owned_at, lone)
 
     def show(self, request: mesh.Look) -> None:
-        """News of the machines looked at; to be sent after the answer, whose number they must exceed."""
-        for name in request.machines:
+        """News of the machines looked at; to be sent after the answer, whose number they must exceed.
+
+        Only of those whose last news the home lacks: telling all of them anew, to each home, grows with teams times
+        machines, and was half of all news of a fleet of 660.
+        """
+        now = self._fx.now()
+        for name, heard in zip(request.machines, request.heard, strict=False):
             machine = self.machines.get(name)
-            if machine is not None:
-                self._publish(machine, self._fx.now(), force=request.team)
+            if machine is None:
+                continue
+            last = machine.told.get(request.team)
+            if not heard or last is None or last[2] != heard:
+                self._publish(machine, now, force=request.team)
 
     # -- launches and stops
 
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -148,9 +148,10 @@
         now = self._fx.now()
         patience = 2.5 * self._workers.report_s
         for machine in self._machines.values():
-            for booking in machine.open_bookings():
-                if not booking.launching and booking.expires < now:
-                    self.drop_booking(machine, booking)
+            if machine.bookings:
+                for booking in machine.open_bookings():
+                    if not booking.launching and booking.expires < now:
+                        self.drop_booking(machine, booking)
         return [machine for machine in self._machines.values() if machine.usable(now, patience)]
 
     def _allowed(self, machine: Machine, shape: mesh.Shape) -> bool:
@@ -184,18 +185,30 @@
     def _fit(self, shape: mesh.Shape, now: float) -> _Fit:
         need = (shape.vcpus, shape.cards, shape.memory_gb)
         open_: list[tuple[Machine, int]] = []
-        rate = 0.0
-        next_s = NEVER_S
+        rigs: set[str] = set()
+        next_at = NEVER_S
         for machine in self._view:
             if not self._allowed(machine, shape):
                 continue
-            rate = max(rate, self.rate(machine.rig))
-            count = slots(self.free(machine), need)
+            rigs.add(machine.rig)
+            count, free_at = machine.fits.get(need) or self._fit_on(machine, need)
             if count:
                 open_.append((machine, count))
             else:
-                next_s = min(next_s, self._frees_in(machine, need, now))
-        return _Fit(open_, next_s, rate)
+                next_at = min(next_at, free_at)
+        next_s = max(0.0, next_at - now) + self._workers.report_s / 2 if next_at < NEVER_S else NEVER_S
+        return _Fit(open_, next_s, max(map(self.rate, rigs), default=0.0))
+
+    def _fit_on(self, machine: Machine, need: Need) -> tuple[int, float]:
+        """Tasks of `need` that fit a machine now; if none does, from when one should.
+
+        Kept with the machine: otherwise one change anywhere has all machines of the part looked through anew.
+        """
+        count = slots(self.free(machine), need)
+        found = (count, 0.0 if count else self._frees_at(machine, need))
+        if machine.free is not None:  # else it has a task that nobody here knows yet
+            machine.fits[need] = found
+        return found
 
     def _ends(self, machine: Machine) -> list[tuple[float, Need]]:
         """When the tasks on a machine should end, by their own estimates, and what each frees."""
@@ -217,14 +230,14 @@
             left = max(left, known.spec.expected_s if known is not None else 0.0)
         return left
 
-    def _frees_in(self, machine: Machine, need: Need, now: float) -> float:
-        """Estimated seconds until a task of `need` would fit."""
+    def _frees_at(self, machine: Machine, need: Need) -> float:
+        """When a task of `need` should fit, by the estimates of what is on the machine."""
         free = list(self.free(machine))
         for at, freed in self._ends(machine):
             for i in range(3):
                 free[i] += freed[i]
             if fits(free, need):
-                return max(0.0, at - now) + self._workers.report_s / 2
+                return at
         return NEVER_S
 
     def reserve(self, request: mesh.Reserve) -> mesh.ReserveReply:
@@ -261,8 +274,10 @@
         ]
         # Cached image first, then the cheaper kind (so that the dearer idles and can be returned), then the
         # fullest machine that fits, as the paper's local mapping packs them.
-        candidates.sort(key=lambda m: (not m.has_image(shape.image), not m.loaners, free[m.name][0], m.heard_at))
-        for machine in candidates:
+        def order(machine: Machine) -> tuple:
+            return not machine.has_image(shape.image), not machine.loaners, free[machine.name][0], machine.heard_at
+
+        for machine in sorted((m for m in candidates if fits(free[m.name], need)), key=order):
             room = free[machine.name]
             while len(given) < want.count and fits(room, need):
                 given.append(self._book_room(machine, want, need, [], now))
@@ -270,7 +285,8 @@
                     room[i] -= need[i]
             if len(given) >= want.count:
                 return given
-        self._preempt(want, need, candidates, free, given, now)
+        if want.preempt:
+            self._preempt(want, need, sorted(candidates, key=order), free, given, now)
         if want.aged and len(given) < want.count:
             self._hold(want, need, candidates, free, now)
         return given
@@ -297,8 +313,6 @@
         given: list[mesh.Slot], now: float,
     ) -> None:
         """Stop less urgent tasks, or tasks beyond another team's guarantee, those begun last first."""
-        if not want.preempt:
-            return
         # The least loss first. One choice changes its own machine, and what teams still run beyond their
         # guarantees: so an offer is worked out again when its turn comes, not all of them each time.
         offers = []
@@ -329,10 +343,8 @@
     ) -> tuple[float, list[Held], list[float]] | None:
         """Work lost, tasks to stop and the room they leave, if one more of `want` fits a machine so."""
         room = list(free[machine.name])
-        victims = self._victims(machine, want, need, room)
-        if not victims:
-            return None
-        return sum(self._lost(held, now) for held in victims), victims, room
+        lost, victims = self._victims(machine, want, need, room, now)
+        return (lost, victims, room) if victims else None
 
     @staticmethod
     def _ran(held: Held, now: float) -> float:
@@ -357,18 +369,20 @@
         late = any(goes_on <= within < anew for within in due)
         return (ran + spec.pull_gb + (spec.plays * spec.expected_s if late else 0.0)) * cpus
 
-    def _victims(self, machine: Machine, want: mesh.Want, need: Need, room: list[float]) -> list[Held] | None:
-        """Tasks to stop so that `need` fits; raises `room` accordingly. None: it can't be done."""
+    def _victims(
+        self, machine: Machine, want: mesh.Want, need: Need, room: list[float], now: float
+    ) -> tuple[float, list[Held]]:
+        """Work lost and tasks to stop so that `need` fits, for which `room` is raised; no tasks: it can't be done."""
+        lost = 0.0
         victims: list[Held] = []
         over: dict[str, float] = {}
-        now = self._fx.now()
         stoppable = [
             h for h in machine.held.values() if h.alive and not (h.yields_to or h.firm or h.status == "flushing")
         ]
         # One that has run for long is nearer to its end than to its beginning: room frees sooner than it is worth.
         longest = max(WORTH_STOPPING * want.shape.run_s, self._workers.lease_s)
         stoppable = [h for h in stoppable if h.job in self._book.active and self._ran(h, now) <= longest]
-        for held in sorted(stoppable, key=lambda h: self._lost(h, now)):
+        for loss, held in sorted(((self._lost(h, now), h) for h in stoppable), key=lambda pair: pair[0]):
             if fits(room, need):
                 break
             known = self._book.active[held.job]
@@ -378,10 +392,11 @@
                 if not want.secured or known.team == want.team or not left >= known.spec.vcpus > 0:
                     continue
                 over[known.team] -= known.spec.vcpus
+            lost += loss
             victims.append(held)
             for i in range(3):
                 room[i] += known.spec.need[i]
-        return victims if fits(room, need) else None
+        return (lost, victims) if fits(room, need) else (0.0, [])
 
     def _hold(
         self, want: mesh.Want, need: Need, candidates: list[Machine], free: dict[str, list[float]], now: float
@@ -393,5 +408,5 @@
                 return
         open_ones = [machine for machine in candidates if machine.hold_for is None]
         if open_ones:
-            best = min(open_ones, key=lambda m: (self._frees_in(m, need, now), m.name))
+            best = min(open_ones, key=lambda m: (max(now, self._frees_at(m, need)), m.name))
             best.hold_for = (want.job, now + 2 * self._workers.report_s)
--- a/tealhook/wire/mesh.py
+++ b/tealhook/wire/mesh.py
@@ -126,12 +126,16 @@
 
 
 class Look(msgspec.Struct, tag="look"):
-    """A home asks for news of machines; its token ends launches by earlier homes."""
+    """A home asks for news of machines; its token ends launches by earlier homes.
+
+    `heard`: the number of the newest news that it has of each; only what it lacks is sent. 0: all of it anew.
+    """
 
     zone: str
     team: str
     home_token: int
     machines: list[str]
+    heard: list[int]
 
 
 class LookReply(msgspec.Struct, tag="look_r"):
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -62,7 +62,8 @@
     room = Room(node._fx, node.settings, 1, node.book, node._types, {}, {"host-0": machine})
     shape = mesh.Shape(4.0, 0.0, 4.0, "", 0.0, True, (), 2, 20.0)
     want = mesh.Want("req-000003", "team-1", shape, 1, False, False, [], 1, True, False)
-    return [held.job for held in room._victims(machine, want, (4.0, 0.0, 4.0), [0.0, 0.0, 0.0])]
+    _lost, victims = room._victims(machine, want, (4.0, 0.0, 4.0), [0.0, 0.0, 0.0], node._fx.now())
+    return [held.job for held in victims]
 
 
 def test_a_task_is_not_stopped_for_others_when_its_job_would_be_late_for_it():
--- a/tests/world.py
+++ b/tests/world.py
@@ -103,10 +103,9 @@
         return 1e9 + self.world.now + self.skew
 
     def later(self, delay: float, call: Callable) -> _Timer:
-        return self.world.at(delay / self.drift, lambda: call() if self.alive else None)
-
-    def _guard(self, answer: Callable) -> Callable:
-        return lambda status, body: answer(status, body) if self.alive else None
+        return self.world.at(
+            delay / self.drift, lambda: self.world.awake(self.name, call, timer=True) if self.alive else None
+        )
 
     def _call(self, timeout: float, answer: Callable, send: Callable[[Callable], None]) -> None:
         """Gives `answer` what comes in time, else (None, b"")."""
@@ -118,8 +117,12 @@
                 done = True
                 answer(status, body)
 
-        self.world.at(timeout, lambda: once(None, b""))
-        send(once)
+        def arrived(status: int | None, body: bytes) -> None:
+            if self.alive:
+                self.world.awake(self.name, lambda: once(status, body))
+
+        self.later(timeout, lambda: once(None, b""))
+        send(arrived)
 
     def state(self, method, target, body, timeout, answer) -> None:
         net = self.world.network
@@ -225,7 +228,7 @@
                 if world.lives.get(node) == life:
                     self._pass(node, who, lambda: answer(status, data))
 
-            controller.on_request(make_request(method, target, body), reply)
+            world.awake(node, lambda: controller.on_request(make_request(method, target, body), reply))
 
         self._pass(who, node, arrive)
         if target == "/v1/report" and world.rng.random() < self.copies:
@@ -254,7 +257,7 @@
         def arrive() -> None:
             controller = self.world.nodes.get(peer)
             if controller is not None:
-                controller.mesh.on_frame(frame)
+                self.world.awake(peer, lambda: controller.mesh.on_frame(frame))
 
         self._pass(sender, peer, arrive)
 
@@ -302,6 +305,7 @@
         self.finished: set[str] = set()
         self.starts = 0
         self.nodes: dict[str, Controller] = {}
+        self.frozen: dict[str, tuple[list[Callable], list[Callable]]] = {}  # what waits: of sockets, of timers
         self.lives: dict[str, int] = {}
         self._life = 0
         self.network = Network(self)
@@ -355,8 +359,36 @@
         if name in self.nodes:
             del self.nodes[name]
             self.lives[name] = -1
+            self.frozen.pop(name, None)
             self.at(back, lambda: self.start(name) if name not in self.nodes else None)
 
+    def freeze(self, name: str, seconds: float) -> None:
+        """A process stands still while its clocks run on; what comes meanwhile waits for it."""
+        if name not in self.nodes or name in self.frozen:
+            return
+        life, waiting = self.lives[name], ([], [])
+        self.frozen[name] = waiting
+
+        def wake() -> None:
+            if self.frozen.get(name) is not waiting:
+                return
+            del self.frozen[name]
+            sockets, timers = waiting
+            # A loop may come to its timers before or after what its sockets hold.
+            calls = [*timers, *sockets] if self.rng.random() < 0.5 else [*sockets, *timers]
+            for call in calls:
+                if self.lives.get(name) == life:
+                    call()
+
+        self.at(seconds, wake)
+
+    def awake(self, name: str, call: Callable, *, timer: bool = False) -> None:
+        """Run a call of a process, at once or when it goes on."""
+        if name in self.frozen:
+            self.frozen[name][timer].append(call)
+        else:
+            call()
+
     # -- users
 
     def ask(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
@@ -506,7 +538,7 @@
     """One random trouble, and its end some time later."""
     rng, net = world.rng, world.network
     workers = [w for w in world.cloud.machines.values() if w.up]
-    kind = rng.randrange(16)
+    kind = rng.randrange(17)
     span = rng.uniform(2.0, 25.0)
     if kind == 0:
         world.crash(rng.choice(world.names), rng.choice([0.2, 3.0, 8.0]))
@@ -539,8 +571,8 @@
         world.at(span, lambda: setattr(world.cloud, "down", False))
     elif kind == 10 and workers:
         worker = rng.choice(workers)
-        worker.hung = True
-        world.at(rng.uniform(1.0, 8.0), lambda: setattr(worker, "hung", False))
+        worker.hung = True  # for less than its lease, or for longer
+        world.at(rng.choice([rng.uniform(1.0, 8.0), span]), lambda: setattr(worker, "hung", False))
     elif kind == 11 and workers:
         for worker in rng.sample(workers, max(1, len(workers) // 3)):
             if worker.loaners:
@@ -557,6 +589,8 @@
     elif kind == 14:
         net.copies = 0.3
         world.at(2 * span, lambda: setattr(net, "copies", 0.0))
+    elif kind == 16:  # for less than a grant, or for longer than a lease
+        world.freeze(rng.choice(world.names), rng.choice([rng.uniform(0.5, 3.0), span]))
     elif kind == 15:
         net.cut_peers()
         world.at(span, net.heal)
