Controllers that stood still act on nothing they held until they know; users get in beside all workers

- Ownership.doubtful: overdue timers found at waking stop rentals, returns, rounds and launches until a view asked for since is there.
- Tests: one and all standing still, many machines hanging, each with its guard broken; sockets; operations counted.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -175,7 +175,7 @@
 
     def _step(self) -> None:
         self._fx.later(self._step_every * (0.9 + 0.2 * self._fx.rng.random()), self._step)
-        if self._token is None:
+        if self._token is None or self._own.doubtful:
             return
         now = self._fx.now()
         for name, when in list(self._dead.items()):
@@ -201,7 +201,7 @@
 
         `zones`: those whose owner has told us of its machines lately.
         """
-        if self._token is None or not self._types or not (self._list_ok or self._cold):
+        if self._token is None or not self._types or not (self._list_ok or self._cold) or self._own.doubtful:
             return
         now = self._fx.now()
         self._last = (boxes, usage, demand)
@@ -284,7 +284,7 @@
 
     def _release(self, now: float) -> None:
         names = [name for name in self._fences if name not in self._releasing][: wire.MAX_RELEASE]
-        if not names or not self._bucket.take(1, now):
+        if not names or self._own.doubtful or not self._bucket.take(1, now):
             return
         self._releasing.update(names)
 
@@ -502,7 +502,7 @@
     def _repeat(self, rental: wire.Rental) -> None:
         if self._token is None or self._renting is not rental:
             return
-        if self._bucket.take(1, self._fx.now()):
+        if not self._own.doubtful and self._bucket.take(1, self._fx.now()):
             self._send_rental(rental)
         else:
             self._fx.later(0.5, lambda: self._repeat(rental))
--- a/tealhook/http/parser.py
+++ b/tealhook/http/parser.py
@@ -83,6 +83,11 @@
     def feed(self, data: bytes) -> None:
         self._buffer += data
 
+    @property
+    def overfull(self) -> bool:
+        """Whether more waits to be looked at than any one message may have."""
+        return len(self._buffer) > MAX_HEAD + self._max_body
+
     @property
     def idle(self) -> bool:
         """Whether no message has begun."""
--- a/tealhook/http/server.py
+++ b/tealhook/http/server.py
@@ -13,6 +13,9 @@
 
 log = logging.getLogger("tealhook.http")
 
+ROOMY_SHARE = 0.75  # of the connections: with fewer open, answers to workers may be held for a while
+MAX_OUT = 64 * 1024  # one answer at a time goes out on a connection, and none is larger by the protocol
+
 Reply = Callable[..., None]
 Handler = Callable[[Request, Reply], None]
 
@@ -42,6 +45,9 @@
         if not self.begun_at:
             self.begun_at = self.active_at
         self._parser.feed(data)
+        if self._busy and self._parser.overfull:
+            self._stream.close()  # pipelining beyond measure: memory is not held for it
+            return
         self._step()
 
     def _step(self) -> None:
@@ -87,12 +93,13 @@
     """Listens on `addr`; idle connections are closed when the share is used up or they are too old."""
 
     def __init__(self, loop: Loop, addr: str, handler: Handler, *, max_connections: int, idle_s: float) -> None:
+        """`handler` answers requests, now or later; who answers later must not do so while `crowded`."""
         self.loop = loop
         self.handler = handler
         self._max = max_connections
         self._idle_s = idle_s
         self._connections: OrderedDict[_Connection, None] = OrderedDict()
-        self._sock = listen(addr)
+        self._sock = listen(addr, max_connections)  # all workers of a fleet may come at once
         loop.watch(self._sock, 1, self._accept)
         loop.later(idle_s / 4, self._sweep)
 
@@ -106,9 +113,15 @@
             if len(self._connections) >= self._max and not self._evict():
                 sock.close()
                 continue
-            connection = _Connection(self, Stream(self.loop, sock, max_out=1 << 20))
+            connection = _Connection(self, Stream(self.loop, sock, max_out=MAX_OUT))
             self._connections[connection] = None
 
+    @property
+    def crowded(self) -> bool:
+        """Whether answers may be held open no longer: an idle connection can be closed for a new one, one that waits
+        for its answer can't, and users must always get in."""
+        return len(self._connections) > ROOMY_SHARE * self._max
+
     def _evict(self) -> bool:
         """Close the connection that has been idle longest; False when all are at work."""
         for connection in self._connections:
--- a/tealhook/parts/keeper.py
+++ b/tealhook/parts/keeper.py
@@ -69,6 +69,7 @@
         self._blind_s = workers.cancel_s - DRIFT * workers.lease_s - workers.report_s / 4
         every(effects, workers.lease_s / 8, self._probe)
         self.on_zone: Callable[[str], Any] = lambda zone: None
+        self.crowded: Callable[[], bool] = lambda: False  # whether connections are scarce
 
     def _probe(self) -> None:
         for part in self.parts.values():
@@ -83,6 +84,7 @@
                 self._strangers,
             )
             part.flush = self._flush
+            part.doubtful = lambda: self._own.doubtful
         for name in [name for name, waiting in self._open.items() if waiting.report.yard == zone]:
             self._flush(name)
 
@@ -117,7 +119,8 @@
         if not part.on_report(report):
             reply(200, part.response(None))
             return
-        patience = 0.0 if relayed else part.patience(report.box)
+        # With all workers of a large fleet on one node, reports held open would leave no connection to users.
+        patience = 0.0 if relayed or self.crowded() else part.patience(report.box)
         if patience <= 0:
             reply(200, part.response(report.box))
             return
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -57,6 +57,7 @@
         self._job_errors: dict[str, set[str]] = {}
         # Answer a machine's report now, if its answer is still open (see `patience`); whether it was.
         self.flush: Callable[[str], bool] = lambda name: False
+        self.doubtful: Callable[[], bool] = lambda: False  # whether we have stood still, and may own nothing any more
 
     def call_in(self, addrs: dict[str, str]) -> None:
         """Tell workers that have not come under our token of it, directly, so that they do.
@@ -300,7 +301,7 @@
                 need = self.room.need(held.job) or (rig.vcpus, rig.cards, rig.memory_gb)
                 for i in range(3):
                     room[i] -= need[i]
-        for booking in machine.open_bookings():
+        for booking in machine.open_bookings() if not self.doubtful() else ():
             if not booking.launching or len(orders) >= MAX_ORDERS:
                 continue
             if booking.revoked or self._book.status(booking.job) in (CANCELLED, DONE):
--- a/tealhook/runtime.py
+++ b/tealhook/runtime.py
@@ -68,10 +68,11 @@
     )
     spare = STATE_LINES + CLOUD_LINES + MAX_WORKER_CLIENTS + 8 * max(1, len(settings.peers)) + 16
     users = max(16, settings.params.limits.max_connections - spare)
-    HttpServer(
+    server = HttpServer(
         runtime.loop, settings.api_addr, controller.on_request, max_connections=users,
         idle_s=max(60.0, 4 * lease_s),
     )
+    controller.parts.crowded = lambda: server.crowded
 
     def mend() -> None:
         """A peer that says nothing any more may hang behind a cut: begin a new connection to it."""
--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -98,6 +98,8 @@
         self._rows: dict[str, _Owned] = {}
         self._absent_since: dict[str, float] = {}
         self._changed_at = effects.now()  # when the set of live nodes last changed
+        self._ticked_at = effects.now()  # when a frequent timer of ours last ran
+        self._stood_still_at = -1e9  # when it was last found that none had run for long
         self._gave_up_at = -1e9
         self._wanted: set[str] = {FLEET}
         self._wanted.update(home_key(name) for name in settings.team_names)
@@ -171,6 +173,19 @@
         keys = self._wanted | self._rows.keys()
         return sorted(key[len(PART):] for key in keys if key.startswith(PART))
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether this process has stood still so long that others may own what it held.
+
+        Its clocks ran on meanwhile. It wakes with overdue timers and full sockets, and may come to the timers first:
+        until a view asked for since then is there, nothing is to be rented, returned or launched on what it held.
+        An outage of the state service is another matter: nobody takes anything over then.
+        """
+        now = self._fx.now()
+        if now - self._ticked_at > self.ttl_s / 2:
+            self._ticked_at = self._stood_still_at = now
+        return self.watcher.viewed_at < self._stood_still_at
+
     @property
     def settled(self) -> bool:
         return self._fx.now() - self._changed_at > 2 * self.ttl_s and self._registered
@@ -268,6 +283,9 @@
     # -- claims
 
     def _claim(self) -> None:
+        if self.doubtful:
+            return
+        self._ticked_at = self._fx.now()
         if self._hold is None or self._busy or not self.watcher.synced:
             return
         if not self._registered:
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,131 @@
+"""What must not grow with the whole fleet: work a look or an inquiry, and sockets held open."""
+
+import json
+import socket
+import threading
+
+from tealhook.http import HttpServer
+from tealhook.http.parser import MAX_BODY, MAX_HEAD
+from tealhook.loop import Loop
+from tealhook.mesh import Mesh
+from tealhook.parts.machine import Machine
+from tealhook.parts.part import Part
+from tealhook.parts.room import Room
+from tealhook.wire import mesh, workers
+from tests.world import World
+
+ALIKE = {
+    "plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
+    "urgency": "standard", "vcpus": 1.0,
+}
+
+
+def test_looks_at_machines_on_which_nothing_changes_cost_no_news(monkeypatch):
+    """Guards against each home being told of all of its machines anew with every look."""
+    world = World(41, limit=64.0)
+    for _ in range(3):
+        world.submit(plays=8, expected_s=900.0, **ALIKE)
+    world.run(60.0)
+    assert world.starts == 24
+    told, looked = [], []
+    whole = Mesh.send
+
+    def send(self, peer, body):
+        if isinstance(body, mesh.MachineNews):
+            told.append(body)
+        whole(self, peer, body)
+
+    def look(self, request):
+        looked.extend(request.machines)
+        return whole_look(self, request)
+
+    whole_look = Part.look
+    monkeypatch.setattr(Mesh, "send", send)
+    monkeypatch.setattr(Part, "look", look)
+    world.run(20.0)
+    assert len(looked) > 20 and not told
+
+
+def test_what_fits_is_worked_out_anew_only_where_something_changed(monkeypatch):
+    """Guards against one change anywhere having every machine of a part looked through for each inquiry."""
+    world = World(42, nodes=1)
+    world.run(5.0)
+    node = world.nodes["n0"]
+    machines = {}
+    for i in range(300):
+        report = workers.Report(f"host-{i}", "10.1.0.1:9000", "small", "za", 1, 1, 1, True)
+        machines[report.box] = machine = Machine(report, node._fx.now())
+        machine.sure = True
+    room = Room(node._fx, node.settings, 1, node.book, node._types, {}, machines)
+    worked = []
+    whole = Room._fit_on
+    monkeypatch.setattr(Room, "_fit_on", lambda self, m, need: worked.append(m.name) or whole(self, m, need))
+    shape = mesh.Shape(4.0, 0.0, 4.0, "img", 0.6, True, (), 1, 5.0)
+    assert room.ask([shape]).rooms[0].uncached == 600
+    assert len(worked) == 300
+    worked.clear()
+    want = mesh.Want("req-000001", "team-0", shape, 3, False, False, [], 1, False, False)
+    assert len(room.reserve(mesh.Reserve("za", [want])).slots[0]) == 3
+    assert room.ask([shape]).rooms[0].uncached == 597
+    assert len(worked) == 2  # two of them took three tasks
+
+
+class _Clients:
+    """A server on loopback whose reports are held open unless it is crowded."""
+
+    def __init__(self, limit: int) -> None:
+        self.loop = Loop()
+        self.held = []
+
+        def handler(request, reply):
+            if request.target == "/v1/report" and not (self.guarded and self.server.crowded):
+                self.held.append(reply)
+            else:
+                reply(200, json.dumps({"at": request.target}).encode())
+
+        self.guarded = True
+        self.server = HttpServer(self.loop, "127.0.0.1:0", handler, max_connections=limit, idle_s=60.0)
+        self.addr = self.server._sock.getsockname()
+        threading.Thread(target=self.loop.run, daemon=True).start()
+
+    def ask(self, target: str, wait: bool) -> tuple[socket.socket, bytes]:
+        client = socket.create_connection(self.addr, timeout=5.0)
+        client.sendall(f"POST {target} HTTP/1.1\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+        try:
+            return client, client.recv(4096) if wait else b""
+        except ConnectionError:
+            return client, b""
+
+
+def _user_beside_workers(guarded: bool) -> bytes:
+    clients = _Clients(16)
+    clients.guarded = guarded
+    workers_ = [clients.ask("/v1/report", wait=False)[0] for _ in range(40)]
+    user, answer = clients.ask("/work", wait=True)
+    for client in (*workers_, user):
+        client.close()
+    clients.loop.stop()
+    return answer
+
+
+def test_users_get_in_beside_more_workers_than_there_are_connections():
+    assert b"200 OK" in _user_beside_workers(True)
+
+
+def test_reports_held_open_whatever_comes_would_shut_users_out():
+    assert _user_beside_workers(False) == b""
+
+
+def test_a_client_that_sends_on_and_on_while_its_answer_is_open_is_cut_off():
+    clients = _Clients(16)
+    client, _ = clients.ask("/v1/report", wait=False)
+    sent = 0
+    try:
+        while sent < 64 * (MAX_HEAD + MAX_BODY):
+            client.sendall(b"x" * 65536)
+            sent += 65536
+    except OSError:
+        pass
+    clients.loop.stop()
+    assert sent < 64 * (MAX_HEAD + MAX_BODY)
+    client.close()
--- /dev/null
+++ b/tests/test_standing_still.py
@@ -0,0 +1,83 @@
+"""Controllers that stand still while their clocks run on, and machines that hang past their lease."""
+
+import pytest
+
+from tealhook.store import FLEET, Ownership
+from tests.world import SimEffects, World
+
+ALIKE = {
+    "plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
+    "urgency": "standard", "vcpus": 2.0,
+}
+LEASE_S = 9.0
+
+
+def _busy(seed: int) -> World:
+    world = World(seed, limit=64.0)
+    for i in range(30):
+        world.at(3.0 * i, lambda: world.submit(plays=10, expected_s=6.0, **ALIKE))
+    world.run(35.0)
+    return world
+
+
+@pytest.mark.parametrize("leases", [0.2, 1.2, 3.0])
+def test_a_controller_that_stands_still_is_taken_over_and_wakes_harmlessly(leases):
+    world = _busy(3)
+    for name in world.names:  # one after the other, each with what it owns
+        world.freeze(name, leases * LEASE_S)
+        world.run(leases * LEASE_S + 12.0)
+    world.run(200.0)
+    assert world.unfinished() == []
+
+
+def test_all_stand_still_at_once():
+    world = _busy(5)
+    for name in world.names:
+        world.freeze(name, 2 * LEASE_S)
+    world.run(260.0)
+    assert world.unfinished() == []
+
+
+def _calls_without_the_fleet(monkeypatch) -> int:
+    """Rentals and returns asked for by a node that had stood still, and did not own the fleet any more."""
+    wrong = 0
+    whole = SimEffects.cloud
+
+    def cloud(self, method, target, body, timeout, answer):
+        nonlocal wrong
+        row = self.world.state.rows.get(FLEET)
+        if method == "POST" and row is not None and row[0]["n"] != self.name:
+            wrong += 1
+        whole(self, method, target, body, timeout, answer)
+
+    monkeypatch.setattr(SimEffects, "cloud", cloud)
+    for seed in range(6, 9):
+        world = _busy(seed)
+        for _ in range(3):
+            owner = next(name for name, node in world.nodes.items() if node.ownership.mine(FLEET))
+            for worker in list(world.cloud.machines.values())[:3]:
+                worker.fail()  # there is always something to release and to rent
+            world.freeze(owner, 1.5 * LEASE_S)
+            world.run(1.5 * LEASE_S + 12.0)
+    return wrong
+
+
+def test_one_that_stood_still_rents_and_returns_nothing_on_what_it_held(monkeypatch):
+    assert _calls_without_the_fleet(monkeypatch) == 0
+
+
+def test_to_go_on_as_if_nothing_had_been_is_found_out(monkeypatch):
+    monkeypatch.setattr(Ownership, "doubtful", property(lambda self: False))
+    assert _calls_without_the_fleet(monkeypatch) > 0
+
+
+@pytest.mark.parametrize("leases", [0.7, 2.5])
+def test_many_machines_hang_and_go_on(leases):
+    """Within their lease they go on with what they had; past it their later shift, or the release, is the proof."""
+    world = _busy(15)
+    machines = [worker for worker in world.cloud.machines.values() if worker.up]
+    for worker in machines[: max(2, len(machines) * 2 // 3)]:
+        worker.hung = True
+        world.at(leases * LEASE_S, lambda worker=worker: setattr(worker, "hung", False))
+    world.run(250.0)
+    assert world.unfinished() == []
