A job's record in pieces, so that none is narrower than its room; machine types told until certain

Records: what one record of value_kb can't name goes to live/<team>/<job>/<piece>, written with the first piece in one transaction, each on its own stamp; only pieces that changed are written, and all are dropped with the job. Done ranges give way when a record is full: such tasks would run again after a takeover, no more.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -19,7 +19,7 @@
 from tealhook.loop.effects import Effects
 from tealhook.mesh import Mesh
 from tealhook.settings import Policy, Settings
-from tealhook.store import FLEET, Ownership, Priority, StateClient, part_key
+from tealhook.store import FLEET, Outcome, Ownership, Priority, StateClient, part_key
 from tealhook.wire import cloud as wire
 from tealhook.wire import mesh as mesh_wire
 from tealhook.wire import state as state_wire
@@ -34,6 +34,8 @@
 GOING_ON = 0.75  # of the CPUs taken now that stay taken over the horizon
 DEAR = 1.5  # times the price of a spot machine: an ordinary one is rented only for what presses
 LEAST_PAID_S = 60.0  # the protocol: a machine that is deleted costs at least that, so it is kept that long
+TYPES_LAGS = 8.0  # of the list's lag: so often prices are asked for
+TYPES_AGAIN_S = 1.0  # after a write of the types that may be lost
 DEAD_BOOT = 4.0  # of ready_s: from then on it is released
 Option = tuple[str, str, bool]  # type, zone, spot
 
@@ -105,6 +107,7 @@
         self._cold = False
         self._calling = 0
         self._types_at = -1e9
+        self._stored_types: set[tuple] | None = None  # as written by us under this ownership
         self._last: tuple[dict, list, list] = ({}, [], [])
 
     def owned(self, token: int | None) -> None:
@@ -148,17 +151,31 @@
                 log.error("cloud: bad machine types: %s", exc)
                 return
             self._types_at = self._fx.now()
-            known = {(rig.name, rig.vcpus, rig.memory_gb, tuple(rig.yards)) for rig in self._types.values()}
-            self._take_types(msgspec.to_builtins(found))
-            if known != {(rig.name, rig.vcpus, rig.memory_gb, tuple(rig.yards)) for rig in found.rigs}:
-                value = msgspec.to_builtins(found)
-                self._store.txn(
-                    {FLEET: self._token or 0}, [state_wire.put(TYPES_KEY, value)], Priority.ADMIT,
-                    lambda outcome, epoch, failed: None,
-                )
+            value = msgspec.to_builtins(found)
+            self._take_types(value)
+            kinds = {(rig.name, rig.vcpus, rig.memory_gb, tuple(rig.yards)) for rig in found.rigs}
+            if kinds != self._stored_types:
+                self._store_types(value, kinds)
 
         self._call("GET", "/machine_types", None, answer)
 
+    def _store_types(self, value: dict, kinds: set[tuple]) -> None:
+        """Tell the other nodes of the machine types; again and again until that is certain.
+
+        One lost write once left nodes without them for good: their machines had no room, and no job began.
+        """
+        token = self._token
+
+        def done(outcome: Outcome, _epoch: int, _failed: list[str]) -> None:
+            if self._token != token or token is None:
+                return
+            if outcome is Outcome.OK:
+                self._stored_types = kinds
+            else:
+                self._types_at = self._fx.now() - TYPES_LAGS * self._lag + TYPES_AGAIN_S
+
+        self._store.txn({FLEET: token or 0}, [state_wire.put(TYPES_KEY, value)], Priority.ADMIT, done)
+
     def _call(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         self._calling += 1
         token = self._token
@@ -183,7 +200,7 @@
                 del self._dead[name]
         if self._calling >= 3:
             return
-        if not self._types or now - self._types_at > 8 * self._lag:
+        if not self._types or now - self._types_at > TYPES_LAGS * self._lag:
             if self._bucket.take(1, now):
                 if not self._types:
                     self._types_at = now
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from tealhook.jobs.book import ACTIVE, DONE, Book, JobRecord, job_key, parse_record
-from tealhook.jobs.job import LIVE, Attempt, Job, live_key
+from tealhook.jobs.job import LIVE, Attempt, Job, live_key, piece_of
 from tealhook.jobs.rounds import PATIENT_FAILURES, Rounds, TeamHome
 from tealhook.loop.effects import Effects, every
 from tealhook.mesh import Mesh
@@ -91,14 +91,15 @@
                 return
             now = self._fx.now()
             for row in rows:
-                job_id = row.path.rsplit("/", 1)[1]
-                job = self._job(home, job_id, now)
+                job_id, piece = piece_of(row.path, home.team)
+                job = home.jobs.get(job_id) or self._job(home, job_id, now)
                 try:
-                    job.load(row.v, row.stamp, now)
+                    job.load(piece, row.v, row.stamp, now)
                 except ValueError as exc:
                     log.error("%s", exc)
                     continue
                 home.jobs[job_id] = job
+            for job in home.jobs.values():
                 for attempt in job.attempts.values():
                     self._place(home, job, attempt)
             for job_id, known in self._book.active.items():
@@ -261,6 +262,7 @@
     def _remove(self, home: TeamHome, job: Job, attempt: Attempt) -> None:
         """The attempt is certainly not on its machine any more."""
         del job.attempts[attempt.index]
+        job.changed.add(attempt.piece)
         self._unplace(home, job, attempt)
         self._off.setdefault(job.id, set()).add((attempt.index, attempt.number))
 
@@ -400,7 +402,7 @@
             for job in home.jobs.values():
                 if job.committing or job.unsure:
                     continue
-                over = job.spec is None and not job.attempts and job.live_stamp
+                over = job.spec is None and not job.attempts and job.stamps
                 if job.staged or job.finished:
                     hard.append((home, job))
                 elif over or (job.soft and now - job.soft_at > self._workers.report_s):
@@ -451,31 +453,44 @@
 
     def _changes(self, home: TeamHome, job: Job) -> tuple[dict[str, int], list[dict], _Committed | None]:
         """Conditions and changes that make a job's present state durable."""
-        key = live_key(home.team, job.id)
-        when = {home_key(home.team): home.token, key: job.live_stamp}
+        # The first piece is in every condition, and written by every assignment: so a write that is executed late
+        # can't slip in between, and attempts given out by any piece are counted.
+        when = {home_key(home.team): home.token, live_key(home.team, job.id): job.stamps.get(0, 0)}
+        changes: list[dict] = []
+        kind, staged = "put", []
         if job.finished:
+            kind = "done"
             when[job_key(job.id)] = job.stamp
-            changes = [state_wire.put(job_key(job.id), {"t": job.team, "st": DONE})]
-            if job.live_stamp and not job.attempts:  # otherwise it stays until they are off
-                changes.append(state_wire.drop(key))
-            return when, changes, _Committed(home, job, [], "done")
-        if job.spec is None:
-            if job.attempts or not job.live_stamp:
+            changes.append(state_wire.put(job_key(job.id), {"t": job.team, "st": DONE}))
+        if job.finished or job.spec is None:
+            kind = "done" if job.finished else "drop"
+            # They stay until nothing is on a machine; the first goes last.
+            pieces = [] if job.attempts else sorted(job.stamps, reverse=True)[: self._store.txn_ops - len(changes)]
+            written: dict[int, Any] = dict.fromkeys(pieces)
+            if kind == "drop" and not written:
                 job.soft = False
                 return when, [], None
-            return when, [state_wire.drop(key)], _Committed(home, job, [], "drop")
-        value = job.encode()
-        while len(dumps(value)) > self._store.value_bytes * 0.97 and job.staged:
-            for _ in range(1 + len(job.staged) // 8):
-                index, _attempt = job.staged.popitem()  # its reservation expires by itself
-                job.give_back(index, self._fx.now())
-            value = job.encode()
-        staged = list(job.staged.values())
-        if staged:
-            when[job_key(job.id)] = job.stamp
-            for attempt in staged:
-                when[part_key(attempt.zone)] = attempt.token
-        return when, [state_wire.put(key, value)], _Committed(home, job, staged, "put")
+        else:
+            limit = min(0.97 * self._store.value_bytes, TXN_BYTES / 2)
+            written = job.lay_out(int(limit), min(self._store.txn_ops, int(TXN_BYTES / limit)))
+            for attempt in [a for a in job.staged.values() if a.piece < 0]:
+                del job.staged[attempt.index]  # its reservation expires by itself
+                job.give_back(attempt.index, self._fx.now())
+            staged = list(job.staged.values())
+            if staged:
+                when[job_key(job.id)] = job.stamp
+                for attempt in staged:
+                    when[part_key(attempt.zone)] = attempt.token
+        for piece, value in written.items():
+            key = live_key(home.team, job.id, piece)
+            when[key] = job.stamps.get(piece, 0)
+            if value is not None and (value["m"] or not piece):
+                changes.append(state_wire.put(key, value))
+            elif piece in job.stamps:
+                changes.append(state_wire.drop(key))
+        job.changed.difference_update(written)
+        kept = {piece for piece, value in written.items() if value is not None and (value["m"] or not piece)}
+        return when, changes, _Committed(home, job, staged, kind, written.keys(), kept)
 
     def _committed(self, batch: list[_Committed], outcome: Outcome, epoch: int, failed: list[str]) -> None:
         launches: dict[tuple[str, str], list[tuple[str, Attempt]]] = {}
@@ -487,6 +502,7 @@
             if outcome is Outcome.OK:
                 self._durable(part, epoch, launches)
             elif outcome is Outcome.UNSURE:
+                job.changed |= part.written
                 job.unsure = True
                 self._read_back(part)
             else:
@@ -500,6 +516,9 @@
 
     def _durable(self, part: _Committed, epoch: int, launches: dict) -> None:
         home, job = part.home, part.job
+        for piece in part.written:
+            job.stamps.pop(piece, None)
+        job.stamps.update(dict.fromkeys(part.kept, epoch))
         if part.kind == "done":
             if job.spec is not None and log.isEnabledFor(logging.DEBUG):
                 log.debug("%s done after %.1f s: %s, %d tasks of %g CPUs, expected %.1f s, due %s", job.id,
@@ -510,14 +529,14 @@
             if job.attempts:
                 self._stop_all(home, job)
             else:
-                self._end(home, job)
+                self._end_if_clear(home, job)
             return
         if part.kind == "drop":
-            self._end(home, job)
+            self._end_if_clear(home, job)
             return
-        job.live_stamp = epoch
-        job.soft = bool(job.staged.keys() - {a.index for a in part.staged})
-        self._off.pop(job.id, None)
+        job.soft = bool(job.changed or job.staged.keys() - {a.index for a in part.staged})
+        if not job.changed:
+            self._off.pop(job.id, None)
         for attempt in part.staged:
             if job.staged.get(attempt.index) is not attempt:
                 continue
@@ -542,7 +561,8 @@
         """Certainly not executed. A conflict of one job must not hold up the others for ever."""
         home, job = part.home, part.job
         now = self._fx.now()
-        if live_key(home.team, job.id) in failed:
+        job.changed |= part.written
+        if any(live_key(home.team, job.id, piece) in failed for piece in {0, *part.written}):
             job.unsure = True
             self._read_back(part)
             return
@@ -575,10 +595,10 @@
         next write's condition fails, and we come here again."""
         home, job = part.home, part.job
 
-        def done(kind: str, row: state_wire.Row | None) -> None:
+        def done(rows: list[state_wire.Row] | None, _epoch: int) -> None:
             if self.homes.get(home.team) is not home:
                 return
-            if kind == "unknown":
+            if rows is None:
                 self._fx.later(0.2 + 0.3 * self._fx.rng.random(), lambda: self._read_back(part))
                 return
             now = self._fx.now()
@@ -586,23 +606,28 @@
                 del job.staged[attempt.index]
                 job.give_back(attempt.index, now)
             job.unsure = False
-            if row is None:
-                job.live_stamp = 0
-            elif row.stamp != job.live_stamp:
-                before = dict(job.attempts)
+            before, stamps = dict(job.attempts), job.stamps
+            job.stamps = {}
+            for row in rows:
+                job_id, piece = piece_of(row.path, home.team)
+                if job_id != job.id:
+                    continue
+                if row.stamp == stamps.get(piece):
+                    job.stamps[piece] = row.stamp
+                    continue
                 try:
-                    job.load(row.v, row.stamp, now, self._off.get(job.id))
+                    job.load(piece, row.v, row.stamp, now, self._off.get(job.id))
                 except ValueError as exc:
                     log.error("%s", exc)
-                for index, attempt in job.attempts.items():
-                    if before.get(index) is not attempt:
-                        self._place(home, job, attempt)
+            for index, attempt in job.attempts.items():
+                if before.get(index) is not attempt:
+                    self._place(home, job, attempt)
             self._reread_job(job)
             self._look(home)
             self.rounds.wake()
             self._commit_soon()
 
-        self._store.get(live_key(home.team, job.id), done, Priority.ASSIGN)
+        self._store.list(live_key(home.team, job.id), done)
 
     # -- launches
 
@@ -644,7 +669,7 @@
     def _end_if_clear(self, home: TeamHome, job: Job) -> None:
         """A terminal job leaves once none of its tasks may be on a machine."""
         if job.spec is None and not job.attempts and not job.committing and not job.unsure:
-            if job.live_stamp:
+            if job.stamps:
                 self._commit_soon()
             else:
                 self._end(home, job)
@@ -704,13 +729,17 @@
 class _Committed:
     """What a transaction holds of one job."""
 
-    __slots__ = ("home", "job", "staged", "kind")
+    __slots__ = ("home", "job", "staged", "kind", "written", "kept")
 
-    def __init__(self, home: TeamHome, job: Job, staged: list[Attempt], kind: str) -> None:
+    def __init__(
+        self, home: TeamHome, job: Job, staged: list[Attempt], kind: str, written: Iterable[int], kept: set[int]
+    ) -> None:
         self.home = home
         self.job = job
         self.staged = staged
         self.kind = kind
+        self.written = set(written)  # pieces of the record
+        self.kept = kept  # those of them that are there afterwards
 
 
 __all__ = ["LIVE", "HomeKeeper", "TeamHome"]
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -7,15 +7,24 @@
 
 from tealhook.jobs.book import Known
 from tealhook.placement import Placed
+from tealhook.wire.common import dumps
 from tealhook.wire.mesh import Shape
 from tealhook.wire.users import GANG, URGENCY_RANK, JobSpec
 
 LIVE = "live/"
+FIRST_SHARE = 0.75  # of the first piece is for assignments, the rest for what is done
+LEAST_BYTES = 6  # a task takes at least so much of a record
 AVOID = 8  # machines on which a job failed lately, not tried again at once
 
 
-def live_key(team: str, job: str) -> str:
-    return f"{LIVE}{team}/{job}"
+def live_key(team: str, job: str, piece: int = 0) -> str:
+    return f"{LIVE}{team}/{job}/{piece}" if piece else f"{LIVE}{team}/{job}"
+
+
+def piece_of(path: str, team: str) -> tuple[str, int]:
+    """The job and the piece that a record of a team is of."""
+    job, _, piece = path[len(live_key(team, "")):].partition("/")
+    return job, int(piece) if piece.isdigit() else 0
 
 
 class Attempt:
@@ -23,7 +32,7 @@
 
     __slots__ = (
         "index", "number", "machine", "shift", "zone", "token", "status", "placed", "rid", "ack_seq",
-        "open_until", "at", "stopping",
+        "open_until", "at", "stopping", "piece",
     )
 
     def __init__(self, index: int, number: int, machine: str, shift: int, zone: str, token: int, at: float) -> None:
@@ -42,6 +51,7 @@
         self.open_until = 0.0
         self.at = at
         self.stopping = False
+        self.piece = 0  # of the job's record that names it
 
 
 class Job:
@@ -53,7 +63,8 @@
         self.spec: JobSpec | None = known.spec if known else None
         self.need = self.spec.need if self.spec else (0.0, 0.0, 0.0)
         self.stamp = known.stamp if known else 0
-        self.live_stamp = 0
+        self.stamps: dict[int, int] = {}  # of the pieces of its record, as far as they are there
+        self.changed: set[int] = set()  # pieces that name attempts which are off
         self.counter = 0  # highest attempt number given out; attempts only grow
         self.plays = self.spec.plays if self.spec else 0
         self.done = bytearray(self.plays)
@@ -144,12 +155,77 @@
 
     # -- the durable record
 
-    def encode(self) -> dict:
-        """The value of `live/<team>/<id>`, compact: done as ranges, assignments as runs by part and machine.
+    def pieces(self) -> dict[int, list[Attempt]]:
+        """Attempts by the piece that names them, in the order of tasks."""
+        found: dict[int, list[Attempt]] = {}
+        for attempt in sorted([*self.attempts.values(), *self.staged.values()], key=lambda a: a.index):
+            found.setdefault(attempt.piece, []).append(attempt)
+        return found
+
+    def lay_out(self, limit: int, most: int) -> dict[int, dict]:
+        """Values of the pieces to be written: the first, and those that changed, `most` of them at once.
+
+        What is staged goes to the first piece that has room for it, so that a job is never narrower than its room:
+        one record of 8 KiB names some 250 machines. What finds no room in this write is no longer staged.
+        """
+        open_ = sorted(self.staged.values(), key=lambda a: a.index)
+        for attempt in open_:
+            attempt.piece = -1
+        named = self.pieces()
+        named.pop(-1, None)
+        written: dict[int, dict] = {}
+        piece = 0
+        while piece == 0 or open_ and len(written) < most:
+            here = named.get(piece, [])
+            room = limit * (1.0 if piece else FIRST_SHARE)
+            value = self.encode(piece, here, limit)
+            take = open_[: max(0, int((room - len(dumps(value))) / LEAST_BYTES))]
+            while take:
+                value = self.encode(piece, sorted([*here, *take], key=lambda a: a.index), limit)
+                if len(dumps(value)) <= room:
+                    break
+                del take[-1 - len(take) // 8:]
+            if not (here or take or piece == 0):
+                break  # not one fits: names longer than any record
+            if not take:
+                value = self.encode(piece, here, limit)
+            for attempt in take:
+                attempt.piece = piece
+            if take or piece == 0:
+                written[piece] = value
+            open_ = open_[len(take):]
+            piece += 1
+        for piece in sorted(self.changed - written.keys())[: most - len(written)]:
+            written[piece] = self.encode(piece, named.get(piece, []), limit)
+        return written
+
+    def encode(self, piece: int, attempts: list[Attempt], limit: int) -> dict:
+        """The value of a piece, compact: assignments as runs by part and machine; in the first what is done as ranges.
 
-        Compact since a record has its limit, and what does not fit can't be assigned: the largest jobs would never
-        get their width. Tasks placed together have consecutive numbers and attempts.
+        Tasks placed together have consecutive numbers and attempts.
         """
+        parts: dict[str, dict[str, list[list[int]]]] = {}
+        for a in attempts:
+            machines = parts.setdefault(f"{a.zone} {a.token}", {})
+            runs = machines.setdefault(f"{a.machine} {a.shift}", [])
+            if runs and (a.index, a.number) == (runs[-1][0] + runs[-1][2], runs[-1][1] + runs[-1][2]):
+                runs[-1][2] += 1
+            else:
+                runs.append([a.index, a.number, 1])
+        if piece:
+            return {"m": parts}
+        ranges = self._done_ranges()
+        value = {"q": list(self.need), "c": self.counter, "d": ranges, "m": parts}
+        if len(ranges) > 1 and len(dumps(value)) > limit:
+            # Done tasks that the record does not name are run again after a takeover, no more: the longest ranges
+            # stay, as many as there is room for.
+            ranges.sort(key=lambda r: r[0] - r[1])
+            while len(ranges) > 1 and len(dumps(value)) > limit:
+                del ranges[-1 - len(ranges) // 8:]
+            ranges.sort()
+        return value
+
+    def _done_ranges(self) -> list[list[int]]:
         ranges = []
         start = self.done.find(1)
         while start >= 0:
@@ -158,25 +234,17 @@
                 end = len(self.done)
             ranges.append([start, end - 1])
             start = self.done.find(1, end)
-        parts: dict[str, dict[str, list[list[int]]]] = {}
-        for a in sorted([*self.attempts.values(), *self.staged.values()], key=lambda a: a.index):
-            machines = parts.setdefault(f"{a.zone} {a.token}", {})
-            runs = machines.setdefault(f"{a.machine} {a.shift}", [])
-            if runs and (a.index, a.number) == (runs[-1][0] + runs[-1][2], runs[-1][1] + runs[-1][2]):
-                runs[-1][2] += 1
-            else:
-                runs.append([a.index, a.number, 1])
-        return {"q": list(self.need), "c": self.counter, "d": ranges, "m": parts}
+        return ranges
 
-    def load(self, value: Any, stamp: int, now: float, off: set[tuple[int, int]] | None = None) -> None:
-        """Take over a durable record; raises ValueError when it is not one.
+    def load(self, piece: int, value: Any, stamp: int, now: float, off: set[tuple[int, int]] | None = None) -> None:
+        """Take over a piece of a durable record; raises ValueError when it is not one.
 
         `off`: attempts already proved gone by this home since the record was written.
         """
         try:
-            need = tuple(float(x) for x in value["q"])
-            counter = int(value["c"])
-            ranges = [(int(first), int(last)) for first, last in value["d"]]
+            need = tuple(float(x) for x in value["q"]) if not piece else ()
+            counter = int(value["c"]) if not piece else 0
+            ranges = [(int(first), int(last)) for first, last in value["d"]] if not piece else []
             found: list[Attempt] = []
             for part, machines in value["m"].items():
                 zone, token = part.split(" ")
@@ -192,11 +260,12 @@
         if self.spec is None and len(need) == 3:
             self.need = need
         self.counter = max(self.counter, counter)
-        self.live_stamp = stamp
+        self.stamps[piece] = stamp
         for first, last in ranges:
             for index in range(first, min(last + 1, self.plays)):
                 self.mark_done(index)
         for attempt in found:
+            attempt.piece = piece
             present = self.attempts.get(attempt.index)
             if present is not None and present.number >= attempt.number:
                 continue
@@ -204,4 +273,5 @@
                 continue
             # Even of a done task an assignment on record counts until it is proved off.
             self.attempts[attempt.index] = attempt
-        self.loaded = True
+        if not piece:
+            self.loaded = True
