--- a/tealhook/loop/effects.py
+++ b/tealhook/loop/effects.py
@@ -34,7 +34,9 @@
         self, addr: str, method: str, target: str, body: bytes | None, timeout: float, answer: Answer
     ) -> None: ...
 
-    def mesh(self, peer: str, frame: bytes) -> None: ...
+    def mesh(self, peer: str, frame: bytes, soon: bool = False) -> None:
+        """Send a frame; `soon`: it may wait a little for others to the same peer, but never behind a later one."""
+        ...
 
 
 def every(effects: Effects, period: float, call: Callable[[], Any]) -> None:
--- a/tealhook/mesh/mesh.py
+++ b/tealhook/mesh/mesh.py
@@ -42,7 +42,7 @@
         if peer == self.node:
             self._fx.later(0.0, lambda: self.handler(self.node, body, lambda reply: None))
         else:
-            self._fx.mesh(peer, self._frame(0, body))
+            self._fx.mesh(peer, self._frame(0, body), soon=True)
 
     def broadcast(self, body: Any) -> None:
         """One-way to every node, this one included."""
--- a/tealhook/mesh/transport.py
+++ b/tealhook/mesh/transport.py
@@ -13,6 +13,7 @@
 
 HEAD = 4
 MAX_QUEUED = 1 << 20
+MAX_GATHERED = 32 * 1024
 
 
 class _Frames:
@@ -39,12 +40,16 @@
     """Sends on one connection to each peer, receives on those that peers make."""
 
     def __init__(
-        self, loop: Loop, addr: str, peers: dict[str, str], on_frame: Callable[[bytes], None], patience_s: float
+        self, loop: Loop, addr: str, peers: dict[str, str], on_frame: Callable[[bytes], None], patience_s: float,
+        gather_s: float,
     ) -> None:
+        """`patience_s`: for a connection to come about; `gather_s`: for what need not go out at once."""
         self._loop = loop
         self._peers = peers
         self._on_frame = on_frame
         self._patience_s = patience_s
+        self._gather_s = gather_s
+        self._gathered: dict[str, bytearray] = {}
         self._lines: dict[str, Stream] = {}
         self._begun: dict[str, float] = {}
         self._incoming: set[Stream] = set()
@@ -52,8 +57,26 @@
         self._sock = listen(addr, 32)
         loop.watch(self._sock, 1, self._accept)
 
-    def send(self, peer: str, frame: bytes) -> None:
-        """Best effort: dropped when the peer can't be reached or does not read."""
+    def send(self, peer: str, frame: bytes, soon: bool = False) -> None:
+        """Best effort: dropped when the peer can't be reached or does not read.
+
+        News of hundreds of machines would each cost a call of the system here and a turn of the loop there: what is
+        sent `soon` goes out together.
+        """
+        gathered = self._gathered.get(peer)
+        if gathered is None:
+            gathered = self._gathered[peer] = bytearray()
+        if soon and not gathered:
+            self._loop.later(self._gather_s, lambda: self._out(peer))
+        gathered += len(frame).to_bytes(HEAD, "big") + frame
+        if not soon or len(gathered) > MAX_GATHERED:
+            self._out(peer)
+
+    def _out(self, peer: str) -> None:
+        data = self._gathered.get(peer)
+        if not data:
+            return
+        self._gathered[peer] = bytearray()
         line = self._lines.get(peer)
         if line is not None and not line.connected and self._loop.now() - self._begun[peer] > self._patience_s:
             line.close()
@@ -64,7 +87,7 @@
                 return
             self._lines[peer] = line
             self._begun[peer] = self._loop.now()
-        line.write(len(frame).to_bytes(HEAD, "big") + frame)
+        line.write(bytes(data))
 
     def reset(self, peer: str) -> None:
         """Begin anew with a peer from which nothing is heard: its connection may hang for ever."""
--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -86,6 +86,7 @@
         self.images: OrderedDict[str, float] = OrderedDict()
         self.failed_jobs: set[str] = set()
         self.told: dict[str, tuple] = {}  # what each home's owner was last told, when, and its number
+        self.told_at = -1e9  # when the homes were last told
         self.hold_for: tuple[str, float] | None = None  # an aged job that holds the room, until when
         self.exits = False  # some task's end is not settled yet
         self.news = True  # something changed since the homes were told
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -342,7 +342,9 @@
 
     def _publish(self, machine: Machine, now: float, force: str | None = None) -> None:
         """Tell each team's home what is on the machine when that changed, or while it has exits to settle."""
-        if not machine.sure or not (machine.news or machine.exits or force):
+        # Exits not settled are told of again, but not with every report: a home makes their outcome durable first.
+        again = machine.exits and now - machine.told_at >= 2 * self._workers.report_s
+        if not machine.sure or not (machine.news or again or force):
             return
         teams: dict[str, list[mesh.Seen]] = {}
         unknown = None
@@ -364,6 +366,7 @@
             self._strangers(unknown)
             return
         machine.news = False
+        machine.told_at = now
         for team in sorted(teams.keys() | machine.told.keys() | ({force} if force else set())):
             seen = teams.get(team, [])
             content = (machine.shift, tuple((s.job, s.index, s.attempt, s.status) for s in seen))
--- a/tealhook/runtime.py
+++ b/tealhook/runtime.py
@@ -54,8 +54,8 @@
         self._workers[addr] = client  # the ones used least lately come first
         client.request(method, target, body, timeout, answer)
 
-    def mesh(self, peer: str, frame: bytes) -> None:
-        self.transport.send(peer, frame)
+    def mesh(self, peer: str, frame: bytes, soon: bool = False) -> None:
+        self.transport.send(peer, frame, soon)
 
 
 def serve(settings: Settings, policy: Policy) -> None:
@@ -64,7 +64,8 @@
     controller = Controller(runtime, settings, policy)
     lease_s = settings.params.workers.lease_s
     runtime.transport = MeshTransport(
-        runtime.loop, settings.mesh_addr, settings.peers, controller.mesh.on_frame, lease_s / 8
+        runtime.loop, settings.mesh_addr, settings.peers, controller.mesh.on_frame, lease_s / 8,
+        settings.params.workers.report_s / 50,
     )
     spare = STATE_LINES + CLOUD_LINES + MAX_WORKER_CLIENTS + 8 * max(1, len(settings.peers)) + 16
     users = max(16, settings.params.limits.max_connections - spare)
--- a/tests/world.py
+++ b/tests/world.py
@@ -137,7 +137,7 @@
         self._call(timeout, answer, lambda once: self.world.network.to_worker(
             self.name, addr, method, target, body, once))
 
-    def mesh(self, peer: str, frame: bytes) -> None:
+    def mesh(self, peer: str, frame: bytes, soon: bool = False) -> None:
         self.world.network.mesh(self.name, peer, frame)
 
 
