Lists of several pages and hundreds of fences share the cloud's budget; direct calls by settings

Fences leave a token to an overdue list. Direct calls to workers are bounded by a share of the connections, and one that waits for its answer is not given up for one more. The stand-in cloud has pages and a budget, as the protocol says.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -251,13 +251,22 @@
                 return
             found.extend(part.boxes)
             if part.more and part.boxes:
-                self._bucket.take(1, self._fx.now())
-                self._list(part.boxes[-1].name_id, found)
+                self._list_on(part.boxes[-1].name_id, found)
             else:
                 self._take_list(found)
 
         self._call("GET", f"/rentals?after={after}&page={wire.LIST_PAGE}", None, answer)
 
+    def _list_on(self, after: str, found: list[wire.Listed]) -> None:
+        """The next page, once the cloud may be called: one refused page would cost the whole list."""
+        now, token = self._fx.now(), self._token
+        self._listing = True
+        if self._bucket.take(1, now):
+            self._list(after, found)
+        else:
+            pause = max(0.01, self._bucket.wait(1, now))
+            self._fx.later(pause, lambda: self._list_on(after, found) if self._token == token else None)
+
     def _take_list(self, listed: list[wire.Listed]) -> None:
         now = self._fx.now()
         self._list_ok = True
@@ -301,7 +310,9 @@
 
     def _release(self, now: float) -> None:
         names = [name for name in self._fences if name not in self._releasing][: wire.MAX_RELEASE]
-        if not names or self._own.doubtful or not self._bucket.take(1, now):
+        # Fences come one by one from all homes, hundreds when a zone is silent: they must not starve the list.
+        keep = 1.0 if self._listing or now - self._listed_at > self._lag else 0.0
+        if not names or self._own.doubtful or not self._bucket.take(1, now, keep):
             return
         self._releasing.update(names)
 
--- a/tealhook/http/client.py
+++ b/tealhook/http/client.py
@@ -89,6 +89,11 @@
         self._lines: set[_Line] = set()
         self._waiting: deque[_Call] = deque()
 
+    @property
+    def idle(self) -> bool:
+        """Whether no answer is waited for."""
+        return not self._waiting and all(line.call is None for line in self._lines)
+
     def request(self, method: str, target: str, body: bytes | None, timeout: float, callback: Callback) -> None:
         """Call back with (status, body), or (None, b"") when there was no answer in time."""
         call = _Call(encode_request(method, target, self._addr, body), callback)
--- a/tealhook/runtime.py
+++ b/tealhook/runtime.py
@@ -20,7 +20,7 @@
 STATE_LINES = 12
 CLOUD_LINES = 4
 WORKER_LINES = 1
-MAX_WORKER_CLIENTS = 64
+WORKERS_SHARE = 1 / 16  # of the connections: for direct calls to workers
 
 
 class Runtime:
@@ -34,6 +34,7 @@
         self._state = HttpClient(self.loop, settings.services.state, max_lines=STATE_LINES)
         self._cloud = HttpClient(self.loop, settings.services.cloud, max_lines=CLOUD_LINES, keep=1)
         self._workers: dict[str, HttpClient] = {}
+        self.most_workers = max(16, int(settings.params.limits.max_connections * WORKERS_SHARE))
         self.transport: MeshTransport | None = None
 
     def later(self, delay: float, call: Callable[[], Any]) -> Timer:
@@ -48,8 +49,12 @@
     def worker(self, addr, method, target, body, timeout, answer) -> None:
         client = self._workers.pop(addr, None)
         if client is None:
-            if len(self._workers) >= MAX_WORKER_CLIENTS:
-                self._workers.pop(next(iter(self._workers))).close()
+            if len(self._workers) >= self.most_workers:
+                idle = next((addr for addr, client in self._workers.items() if client.idle), None)
+                if idle is None:  # an answer that is waited for is worth more than one more question
+                    self.loop.later(0.0, lambda: answer(None, b""))
+                    return
+                self._workers.pop(idle).close()
             client = HttpClient(self.loop, addr, max_lines=WORKER_LINES)
         self._workers[addr] = client  # the ones used least lately come first
         client.request(method, target, body, timeout, answer)
@@ -67,7 +72,7 @@
         runtime.loop, settings.mesh_addr, settings.peers, controller.mesh.on_frame, lease_s / 8,
         settings.params.workers.report_s / 50,
     )
-    spare = STATE_LINES + CLOUD_LINES + MAX_WORKER_CLIENTS + 8 * max(1, len(settings.peers)) + 16
+    spare = STATE_LINES + CLOUD_LINES + runtime.most_workers + 8 * max(1, len(settings.peers)) + 16
     users = max(16, settings.params.limits.max_connections - spare)
     server = HttpServer(
         runtime.loop, settings.api_addr, controller.on_request, max_connections=users,
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -163,9 +163,19 @@
         self.asks: dict[str, list[str]] = {}
         self.history: list[tuple[float, list[dict]]] = [(0.0, [])]
         self.down = False
+        self.refused = 0  # calls beyond the budget
         self._count = 0
+        self._tokens, self._tokens_at = 0.0, -1e9
 
     def handle(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
+        rps, now = self.world.settings.params.cloud.rps, self.world.now
+        self._tokens = min(2.0 * rps, self._tokens + rps * (now - self._tokens_at))  # bursts worth two seconds
+        self._tokens_at = now
+        if self._tokens < 1.0:
+            self.refused += 1
+            answer(429, b"{}")
+            return
+        self._tokens -= 1.0
         if self.down:
             answer(503, b'{"error":"trouble"}')
             return
@@ -183,7 +193,9 @@
         else:
             lag = self.world.settings.params.cloud.list_lag_s * self.world.rng.uniform(0.3, 2.0)
             boxes = [b for t, b in self.history if t <= max(0.0, self.world.now - lag)][-1]
-            answer(200, json.dumps({"boxes": [b for b in boxes if b["name_id"] > query["after"]]}).encode())
+            after = [b for b in boxes if b["name_id"] > query["after"]]
+            page = int(query["page"])
+            answer(200, json.dumps({"boxes": after[:page], "more": len(after) > page}).encode())
 
     def _rent(self, value: dict, answer: Callable) -> None:
         if value["ask"] in self.asks:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -87,3 +87,30 @@
     world.run(40.0)
     assert len(lost) == 3
     assert all(node._types for node in world.nodes.values())
+
+
+def _listed_in_pages() -> tuple[World, int]:
+    """Machines on many pages of the list, and hundreds of calls wanted at once: a wave takes half of them."""
+    world = World(14, limit=1e6)
+    world.cloud.room = 30
+    for position in range(30):
+        world.at(1.0 * position, lambda: world.submit(
+            plain=True, plays=24, vcpus=8.0, expected_s=60.0, urgency="standard", loaners=True, yard=None, rigs=None,
+            spread=False, together=False))
+    world.run(60.0)
+    for name in [name for name, worker in world.cloud.machines.items() if worker.loaners][::2]:
+        world.cloud.remove(name)
+    before = len(world.cloud.machines)
+    world.run(25.0)
+    return world, before
+
+
+def test_lists_of_many_pages_and_a_wave_stay_within_the_clouds_budget(monkeypatch):
+    """Guards against pages asked for without tokens: one refused page costs the whole list, and what it would tell."""
+    monkeypatch.setattr("tealhook.wire.cloud.LIST_PAGE", 15)
+    world, before = _listed_in_pages()
+    fleet = next(node.fleet for node in world.nodes.values() if node.fleet._token is not None)
+    assert before > 45 and world.cloud.refused <= 2  # a new owner of the fleet does not know what the last one used
+    assert fleet._list_ok and set(fleet._boxes) >= set(list(world.cloud.machines)[:before])
+    world.run(400.0)
+    assert world.unfinished() == []
