--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -30,6 +30,7 @@
 TYPES_KEY = "fleet/types"
 CALL_TIMEOUT_S = 5.0
 USED_SHARE = 0.9
+LIST_SHARE = 0.4  # of the calls at most: lists
 LATE_BOOT = 2.0  # of ready_s: from then on a starting machine is not counted on
 GOING_ON = 0.75  # of the CPUs taken now that stay taken over the horizon
 DEAR = 1.5  # times the price of a spot machine: an ordinary one is rented only for what presses
@@ -96,6 +97,7 @@
         self._releasing: set[str] = set()
         self._listing = False
         self._listed_at = -1e9
+        self._pages = 1  # of the last list
         self._list_ok = False
         self._renting: wire.Rental | None = None
         self._asked = 0
@@ -208,7 +210,9 @@
             if not self._types:
                 return
         self._release(now)
-        if not self._listing and now - self._listed_at > self._lag / 3 and self._bucket.take(1, now):
+        # Lists of many pages must leave most of the calls to rentals and returns.
+        every_s = max(self._lag / 3, self._pages / (LIST_SHARE * self._bucket.rate))
+        if not self._listing and now - self._listed_at > every_s and self._bucket.take(1, now):
             self._listed_at = now
             self._list("", [])
 
@@ -261,6 +265,7 @@
         """The next page, once the cloud may be called: one refused page would cost the whole list."""
         now, token = self._fx.now(), self._token
         self._listing = True
+        self._pages = 1 + len(found) // wire.LIST_PAGE
         if self._bucket.take(1, now):
             self._list(after, found)
         else:
@@ -311,7 +316,7 @@
     def _release(self, now: float) -> None:
         names = [name for name in self._fences if name not in self._releasing][: wire.MAX_RELEASE]
         # Fences come one by one from all homes, hundreds when a zone is silent: they must not starve the list.
-        keep = 1.0 if self._listing or now - self._listed_at > self._lag else 0.0
+        keep = 1.0 if self._listing or now - self._listed_at > self._lag * self._pages else 0.0
         if not names or self._own.doubtful or not self._bucket.take(1, now, keep):
             return
         self._releasing.update(names)
