Nothing is released into a cut: the fleet waits for the cloud to answer, then for the workers

While the cloud does not answer nothing is released, and when it does again, fences are asked for anew.

--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -24,6 +24,7 @@
 from tealhook.wire import mesh as mesh_wire
 from tealhook.wire import state as state_wire
 from tealhook.wire.common import dumps
+from tealhook.wire.workers import UNANSWERED_S
 
 log = logging.getLogger("tealhook.fleet")
 
@@ -94,6 +95,8 @@
         self._boxes: dict[str, _Box] = {}
         self._dead: dict[str, float] = {}  # released, or known to be gone: lists may still show them
         self._fences: dict[str, float] = {}
+        self._fences_from = -1e9  # until then nothing is released
+        self._mute_since: float | None = None  # since when the cloud has not answered
         self._releasing: set[str] = set()
         self._listing = False
         self._listed_at = -1e9
@@ -180,16 +183,32 @@
 
     def _call(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         self._calling += 1
-        token = self._token
+        token, asked = self._token, self._fx.now()
 
         def answered(status: int | None, data: bytes) -> None:
             if status == 429:
                 self._bucket.drain(self._fx.now())
+            if status is None:
+                self._mute_since = asked if self._mute_since is None else self._mute_since
+            elif self._mute_since is not None:
+                self._cloud_is_back()
             if self._token == token:
                 answer(status, data)
 
         self._fx.cloud(method, target, body, CALL_TIMEOUT_S, answered)
 
+    def _cloud_is_back(self) -> None:
+        """The cloud answers after it had not: what was silent meanwhile may have been behind the same cut as we.
+
+        Releases sent into a cut that holds packets were executed when it healed: they took 250 machines that were about
+        to come back. So none is sent while the cloud is mute, and then workers have time to be heard of again.
+        """
+        workers, now = self._settings.params.workers, self._fx.now()
+        if now - self._mute_since > workers.lease_s / 2:
+            self._fences.clear()  # whoever wants one still will say so again
+            self._fences_from = now + 2 * workers.report_s + UNANSWERED_S
+        self._mute_since = None
+
     # -- the step
 
     def _step(self) -> None:
@@ -317,7 +336,9 @@
         names = [name for name in self._fences if name not in self._releasing][: wire.MAX_RELEASE]
         # Fences come one by one from all homes, hundreds when a zone is silent: they must not starve the list.
         keep = 1.0 if self._listing or now - self._listed_at > self._lag * self._pages else 0.0
-        if not names or self._own.doubtful or not self._bucket.take(1, now, keep):
+        if not names or self._own.doubtful or self._mute_since is not None or now < self._fences_from:
+            return
+        if not self._bucket.take(1, now, keep):
             return
         self._releasing.update(names)
 
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -23,11 +23,11 @@
 from tealhook.wire import state as state_wire
 from tealhook.wire.common import dumps
 from tealhook.wire.users import URGENCY_RANK
+from tealhook.wire.workers import UNANSWERED_S
 
 log = logging.getLogger("tealhook.jobs")
 
 TXN_BYTES = 56 * 1024  # of the 64 KiB that a transaction may have
-UNANSWERED_S = 5.5  # the protocol: a report unanswered for 4 s, the next node 1 s later, sent on within 0.5 s
 
 
 class HomeKeeper:
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -29,7 +29,6 @@
 DEAF_LEASES = 2.0  # a machine that has not heard for so many leases is replaced
 DRIFT = 1.001  # two steady clocks, each at most 0.05% off
 DIRECT_S = 2.0  # a worker that has not answered a direct call by then is asked again later
-ANSWER_S = 4.0  # the protocol: a worker drops answers that come later
 LONE_SHARE = 0.25  # of a part's machines silent at most: it is them, else the way to them
 
 
@@ -105,7 +104,7 @@
                 # It had been answered when its lease ran out: the answers did not arrive.
                 self._deaf(machine, now)
             self._new_shift(machine, report.shift, now)
-        elif now - machine.shift_at > DRIFT * self._workers.lease_s + ANSWER_S:
+        elif now - machine.shift_at > DRIFT * self._workers.lease_s + wire.ANSWER_S:
             machine.deaf_since = None  # the shift has outlived a lease: something of ours arrived
         machine.tick = report.tick
         machine.heard_at = now
@@ -146,7 +145,7 @@
         if free[0] <= EPSILON or free[2] <= EPSILON:
             return 0.0
         share = 1 / 3 if machine.held else 2 / 3
-        return min(ANSWER_S / 2, max(0.9 * REPORT_GAP_S, share * self._workers.report_s))
+        return min(wire.ANSWER_S / 2, max(0.9 * REPORT_GAP_S, share * self._workers.report_s))
 
     def _deaf(self, machine: Machine, now: float) -> None:
         """What we tell a machine does not reach it, though its reports come: it gets nothing more until it hears.
--- a/tealhook/wire/workers.py
+++ b/tealhook/wire/workers.py
@@ -7,6 +7,8 @@
 LAUNCH, KILL, CLEAR = "launch", "kill", "clear"
 EXITED = "exited"
 ALIVE = ("pulling", "running", "flushing")
+ANSWER_S = 4.0  # a worker drops answers to a report that come later
+UNANSWERED_S = ANSWER_S + 1.0 + 0.5  # then it tries the next node 1 s later, and is sent on within 0.5 s
 
 
 class Play(msgspec.Struct, omit_defaults=True):
