--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -445,6 +445,7 @@
             return
         for part in batch:
             part.job.committing = True
+            part.job.changed -= part.written
         self._store.txn(
             when, apply, priority, lambda outcome, epoch, failed: self._committed(batch, outcome, epoch, failed)
         )
@@ -488,7 +489,6 @@
                 changes.append(state_wire.put(key, value))
             elif piece in job.stamps:
                 changes.append(state_wire.drop(key))
-        job.changed.difference_update(written)
         kept = {piece for piece, value in written.items() if value is not None and (value["m"] or not piece)}
         return when, changes, _Committed(home, job, staged, kind, written.keys(), kept)
 
