--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -8,27 +8,25 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
-from tealhook.jobs.book import ACTIVE, DONE, Book, JobRecord, job_key, parse_record
+from tealhook.jobs.book import Book
+from tealhook.jobs.commits import Commits
 from tealhook.jobs.job import LIVE, Attempt, Job, live_key, piece_of
 from tealhook.jobs.rounds import PATIENT_FAILURES, Rounds, TeamHome
 from tealhook.loop.effects import Effects, every
 from tealhook.mesh import Mesh
 from tealhook.placement import Feedback
 from tealhook.settings import Policy, Settings
-from tealhook.store import FLEET, Outcome, Ownership, Priority, StateClient, home_key, part_key
+from tealhook.store import FLEET, Ownership, StateClient, part_key
 from tealhook.wire import mesh as wire
 from tealhook.wire import state as state_wire
-from tealhook.wire.common import dumps
 from tealhook.wire.users import URGENCY_RANK
 from tealhook.wire.workers import UNANSWERED_S
 
 log = logging.getLogger("tealhook.jobs")
 
-TXN_BYTES = 56 * 1024  # of the 64 KiB that a transaction may have
-
 
 class HomeKeeper:
     """All homes that this node owns."""
@@ -49,13 +47,10 @@
         self._teams = {team.name: team for team in settings.params.teams}
         self.homes: dict[str, TeamHome] = {}
         self._on_machine: dict[str, set[tuple[str, str, int]]] = {}  # machine -> (team, job, index)
-        self._off: dict[str, set[tuple[int, int]]] = {}  # job -> attempts proved off, until durable
-        self._commit_timer = None
-        self._commit_due = 0.0
-        self._behind = False  # something placed waits for tokens to be made durable
+        self.commits = Commits(effects, settings, store, book, self.homes, self)
         self.rounds = Rounds(
-            effects, settings, policy, ownership, store, mesh, variables, self.homes, lambda: self._behind,
-            self._commit_soon,
+            effects, settings, policy, ownership, store, mesh, variables, self.homes, lambda: self.commits.behind,
+            self.commits.soon,
         )
         every(effects, self._workers.lease_s / 6, self._look_all)
         every(effects, self._workers.report_s, self._tidy)
@@ -101,7 +96,7 @@
                 home.jobs[job_id] = job
             for job in home.jobs.values():
                 for attempt in job.attempts.values():
-                    self._place(home, job, attempt)
+                    self.place(home, job, attempt)
             for job_id, known in self._book.active.items():
                 if known.team == home.team and job_id not in home.jobs:
                     home.jobs[job_id] = self._job(home, job_id, now)
@@ -110,8 +105,8 @@
             log.info("home %s: %d jobs", home.team, len(home.jobs))
             for job in home.jobs.values():
                 if job.spec is None:
-                    self._stop_all(home, job)
-            self._look(home)
+                    self.stop_all(home, job)
+            self.look(home)
             self.rounds.wake()
 
         self._store.list(live_key(home.team, ""), done)
@@ -122,6 +117,10 @@
         age = self._fx.wall() - known.at if known is not None and known.at > 0 else 0.0
         return Job(job_id, home.team, known, now - max(0.0, age))
 
+    def wake(self) -> None:
+        """There may be something to place."""
+        self.rounds.wake()
+
     def job_changed(self, job_id: str) -> None:
         """The book has news of a job: submitted, cancelled or done."""
         team = self._book.team(job_id)
@@ -138,12 +137,12 @@
             return
         if job is not None and job.spec is not None:
             job.spec = None  # terminal: nothing of it starts any more
-            self._stop_all(home, job)
-            self._end_if_clear(home, job)
+            self.stop_all(home, job)
+            self.end_if_clear(home, job)
 
     # -- the index of what may be on which machine
 
-    def _place(self, home: TeamHome, job: Job, attempt: Attempt) -> None:
+    def place(self, home: TeamHome, job: Job, attempt: Attempt) -> None:
         self._on_machine.setdefault(attempt.machine, set()).add((home.team, job.id, attempt.index))
 
     def _unplace(self, home: TeamHome, job: Job, attempt: Attempt) -> None:
@@ -224,9 +223,9 @@
             job.failures = 0
             # The outcome first, durably; then `clear`.
             job.to_clear.append((attempt.zone, attempt.machine, attempt.index, attempt.number))
-            self._soften(job, now)
+            self.commits.soften(job, now)
             if job.finished:
-                self._commit_soon()
+                self.commits.soon()
             self.rounds.wake()
             return
         if job.spec is not None:
@@ -242,7 +241,7 @@
             job.give_back(attempt.index, now)
             self._break_up(home, job)
             self.rounds.wake()
-        self._end_if_clear(home, job)
+        self.end_if_clear(home, job)
         stops.append(clear)
 
     def _stray_done(self, home: TeamHome, job: Job, seen: wire.Seen, news: wire.MachineNews, stops: list) -> None:
@@ -251,9 +250,9 @@
             current = job.attempts.get(seen.index)
             if current is not None:
                 stops.append((current.machine, job.id, current.index, current.number, 0.0))
-            self._soften(job, self._fx.now())
+            self.commits.soften(job, self._fx.now())
         job.to_clear.append((news.zone, news.machine, seen.index, seen.attempt))
-        self._commit_soon()
+        self.commits.soon()
 
     def _learn(self, home: TeamHome, attempt: Attempt, now: float) -> None:
         factor = home.factors.setdefault(attempt.zone, Feedback(now))
@@ -264,22 +263,22 @@
         del job.attempts[attempt.index]
         job.changed.add(attempt.piece)
         self._unplace(home, job, attempt)
-        self._off.setdefault(job.id, set()).add((attempt.index, attempt.number))
+        self.commits.off.setdefault(job.id, set()).add((attempt.index, attempt.number))
 
     def _off_machine(self, home: TeamHome, job: Job, attempt: Attempt) -> None:
         now = self._fx.now()
         self._remove(home, job, attempt)
-        self._soften(job, now)
+        self.commits.soften(job, now)
         if job.spec is not None:
             job.give_back(attempt.index, now)
             self._break_up(home, job)
             self.rounds.wake()
-        self._end_if_clear(home, job)
+        self.end_if_clear(home, job)
 
     def _break_up(self, home: TeamHome, job: Job) -> None:
         """A gang that lost a task can't go on: the rest is stopped, and all of it is placed anew."""
         if job.gang and job.attempts:
-            self._stop_all(home, job)
+            self.stop_all(home, job)
 
     def gone(self, machines: list[str]) -> None:
         """The cloud has taken these machines, with all that was on them."""
@@ -294,7 +293,7 @@
                 if attempt is not None and attempt.machine == name:
                     self._off_machine(home, job, attempt)
 
-    def _stop_all(self, home: TeamHome, job: Job) -> None:
+    def stop_all(self, home: TeamHome, job: Job) -> None:
         """Kill whatever a terminal job may still have on machines."""
         zones: dict[str, list[tuple[str, str, int, int, float]]] = {}
         for attempt in job.attempts.values():
@@ -314,10 +313,10 @@
             if home.ready:
                 for job in home.jobs.values():
                     if job.spec is None:
-                        self._stop_all(home, job)  # a kill may have been lost on its way
-                self._look(home)
+                        self.stop_all(home, job)  # a kill may have been lost on its way
+                self.look(home)
 
-    def _look(self, home: TeamHome) -> None:
+    def look(self, home: TeamHome) -> None:
         zones: dict[str, dict[str, int]] = {}
         for machine, zone in home.strays.items():
             zones.setdefault(zone, {})[machine] = 0
@@ -369,187 +368,9 @@
             if not waiting:
                 for factor in home.factors.values():
                     factor.idle(now, self._workers.lease_s)
-        self._commit_soon()
-
-    # -- commits
-
-    def _soften(self, job: Job, now: float) -> None:
-        if not job.soft:
-            job.soft = True
-            job.soft_at = now
-
-    def _commit_soon(self, delay: float | None = None) -> None:
-        """One transaction for what several jobs have to make durable, after a short wait."""
-        if delay is None:
-            delay = self._workers.report_s / 25
-        due = self._fx.now() + delay
-        if self._commit_timer is not None:
-            if self._commit_due <= due + 1e-6:
-                return
-            self._commit_timer.cancel()
-        self._commit_due = due
-        self._commit_timer = self._fx.later(delay, self._commit)
+        self.commits.soon()
 
-    def _commit(self) -> None:
-        self._commit_timer = None
-        self._behind = False
-        now = self._fx.now()
-        hard: list[tuple[TeamHome, Job]] = []
-        soft: list[tuple[TeamHome, Job]] = []
-        for home in self.homes.values():
-            if not home.ready:
-                continue
-            for job in home.jobs.values():
-                if job.committing or job.unsure:
-                    continue
-                over = job.spec is None and not job.attempts and job.stamps
-                if job.staged or job.finished:
-                    hard.append((home, job))
-                elif over or (job.soft and now - job.soft_at > self._workers.report_s):
-                    soft.append((home, job))
-        if hard:
-            hard.sort(key=lambda pair: (not pair[1].finished, -pair[1].done_count))
-            urgent = [pair for pair in hard if pair[1].spec is not None and pair[1].shape().urgency > 1]
-            rest = [pair for pair in hard if pair not in urgent]
-            self._send_commit(urgent + rest, Priority.ASSIGN)
-        elif soft:
-            soft.sort(key=lambda pair: pair[1].soft_at)
-            self._send_commit(soft, Priority.KEEP)
-
-    def _send_commit(self, pairs: list[tuple[TeamHome, Job]], priority: Priority) -> None:
-        room = min(self._store.txn_ops, max(2, self._store.write_room(priority)))
-        wait = self._store.write_wait(2, priority)
-        self._behind = wait > 0 and priority is Priority.ASSIGN
-        if wait > 0:
-            self._commit_soon(max(0.02, wait))
-            return
-        when: dict[str, int] = {}
-        apply: list[dict] = []
-        batch: list[_Committed] = []
-        size = 0
-        left = False
-        for home, job in pairs:
-            conditions, changes, part = self._changes(home, job)
-            if part is None:
-                continue
-            grown = size + sum(len(dumps(change)) for change in changes) + 60 * len(conditions)
-            too_many = len(apply) + len(changes) > room or len(when) + len(conditions) > 4 * self._store.txn_ops
-            if batch and (too_many or grown > TXN_BYTES):
-                left = self._behind = True
-                break
-            size = grown
-            when.update(conditions)
-            apply.extend(changes)
-            batch.append(part)
-        if not batch:
-            return
-        for part in batch:
-            part.job.committing = True
-            part.job.changed -= part.written
-        self._store.txn(
-            when, apply, priority, lambda outcome, epoch, failed: self._committed(batch, outcome, epoch, failed)
-        )
-        if left:
-            self._commit_soon()
-
-    def _changes(self, home: TeamHome, job: Job) -> tuple[dict[str, int], list[dict], _Committed | None]:
-        """Conditions and changes that make a job's present state durable."""
-        # The first piece is in every condition, and written by every assignment: so a write that is executed late
-        # can't slip in between, and attempts given out by any piece are counted.
-        when = {home_key(home.team): home.token, live_key(home.team, job.id): job.stamps.get(0, 0)}
-        changes: list[dict] = []
-        kind, staged = "put", []
-        if job.finished:
-            kind = "done"
-            when[job_key(job.id)] = job.stamp
-            changes.append(state_wire.put(job_key(job.id), {"t": job.team, "st": DONE}))
-        if job.finished or job.spec is None:
-            kind = "done" if job.finished else "drop"
-            # They stay until nothing is on a machine; the first goes last.
-            pieces = [] if job.attempts else sorted(job.stamps, reverse=True)[: self._store.txn_ops - len(changes)]
-            written: dict[int, Any] = dict.fromkeys(pieces)
-            if kind == "drop" and not written:
-                job.soft = False
-                return when, [], None
-        else:
-            limit = min(0.97 * self._store.value_bytes, TXN_BYTES / 2)
-            written = job.lay_out(int(limit), min(self._store.txn_ops, int(TXN_BYTES / limit)))
-            for attempt in [a for a in job.staged.values() if a.piece < 0]:
-                del job.staged[attempt.index]  # its reservation expires by itself
-                job.give_back(attempt.index, self._fx.now())
-            staged = list(job.staged.values())
-            if staged:
-                when[job_key(job.id)] = job.stamp
-                for attempt in staged:
-                    when[part_key(attempt.zone)] = attempt.token
-        for piece, value in written.items():
-            key = live_key(home.team, job.id, piece)
-            when[key] = job.stamps.get(piece, 0)
-            if value is not None and (value["m"] or not piece):
-                changes.append(state_wire.put(key, value))
-            elif piece in job.stamps:
-                changes.append(state_wire.drop(key))
-        kept = {piece for piece, value in written.items() if value is not None and (value["m"] or not piece)}
-        return when, changes, _Committed(home, job, staged, kind, written.keys(), kept)
-
-    def _committed(self, batch: list[_Committed], outcome: Outcome, epoch: int, failed: list[str]) -> None:
-        launches: dict[tuple[str, str], list[tuple[str, Attempt]]] = {}
-        for part in batch:
-            home, job = part.home, part.job
-            job.committing = False
-            if self.homes.get(home.team) is not home:
-                continue
-            if outcome is Outcome.OK:
-                self._durable(part, epoch, launches)
-            elif outcome is Outcome.UNSURE:
-                job.changed |= part.written
-                job.unsure = True
-                self._read_back(part)
-            else:
-                self._not_durable(part, failed)
-        for (team, zone), attempts in launches.items():
-            self._launch(self.homes[team], zone, attempts)
-        if outcome is Outcome.REFUSED:
-            self._commit_soon(0.2)
-        else:
-            self._commit_soon()
-
-    def _durable(self, part: _Committed, epoch: int, launches: dict) -> None:
-        home, job = part.home, part.job
-        for piece in part.written:
-            job.stamps.pop(piece, None)
-        job.stamps.update(dict.fromkeys(part.kept, epoch))
-        if part.kind == "done":
-            if job.spec is not None and log.isEnabledFor(logging.DEBUG):
-                log.debug("%s done after %.1f s: %s, %d tasks of %g CPUs, expected %.1f s, due %s", job.id,
-                          self._fx.now() - job.since, job.spec.lineup, job.plays, job.spec.vcpus,
-                          job.spec.expected_s, job.spec.due_s)
-            self._book.learn(job.id, JobRecord(job.team, DONE), epoch)
-            job.spec = None
-            if job.attempts:
-                self._stop_all(home, job)
-            else:
-                self._end_if_clear(home, job)
-            return
-        if part.kind == "drop":
-            self._end_if_clear(home, job)
-            return
-        job.soft = bool(job.changed or job.staged.keys() - {a.index for a in part.staged})
-        if not job.changed:
-            self._off.pop(job.id, None)
-        for attempt in part.staged:
-            if job.staged.get(attempt.index) is not attempt:
-                continue
-            del job.staged[attempt.index]
-            job.attempts[attempt.index] = attempt
-            self._place(home, job, attempt)
-            if job.spec is not None:
-                launches.setdefault((home.team, attempt.zone), []).append((job.id, attempt))
-        if job.spec is None:
-            self._stop_all(home, job)
-        self._clear(home, job)
-
-    def _clear(self, home: TeamHome, job: Job) -> None:
+    def clear(self, home: TeamHome, job: Job) -> None:
         zones: dict[str, list] = {}
         for zone, machine, index, number in job.to_clear:
             zones.setdefault(zone, []).append((machine, job.id, index, number, -1.0))
@@ -557,81 +378,9 @@
         for zone, items in zones.items():
             self._send_stops(home, zone, items)
 
-    def _not_durable(self, part: _Committed, failed: list[str]) -> None:
-        """Certainly not executed. A conflict of one job must not hold up the others for ever."""
-        home, job = part.home, part.job
-        now = self._fx.now()
-        job.changed |= part.written
-        if any(live_key(home.team, job.id, piece) in failed for piece in {0, *part.written}):
-            job.unsure = True
-            self._read_back(part)
-            return
-        bad_zones = {attempt.zone for attempt in part.staged if part_key(attempt.zone) in failed}
-        ended = job_key(job.id) in failed
-        for attempt in part.staged:
-            stale = now - attempt.at > self._workers.lease_s / 4  # its reservation has expired
-            if (attempt.zone in bad_zones or ended or stale) and job.staged.get(attempt.index) is attempt:
-                del job.staged[attempt.index]
-                job.give_back(attempt.index, now)
-        if ended:
-            job.not_before = max(job.not_before, now + self._workers.report_s)
-            self._reread_job(job)
-
-    def _reread_job(self, job: Job) -> None:
-        def done(kind: str, row: state_wire.Row | None) -> None:
-            if kind == "ok":
-                record = parse_record(row.v)
-                if record is not None:
-                    self._book.learn(job.id, record, row.stamp)
-                    if record.st == ACTIVE:
-                        job.stamp = row.stamp
-            elif kind == "unknown":
-                self._fx.later(0.3, lambda: self._reread_job(job))
-
-        self._store.get(job_key(job.id), done, Priority.ASSIGN)
-
-    def _read_back(self, part: _Committed) -> None:
-        """Nobody knows whether it was executed: read, never guess. It may even be executed later; then the
-        next write's condition fails, and we come here again."""
-        home, job = part.home, part.job
-
-        def done(rows: list[state_wire.Row] | None, _epoch: int) -> None:
-            if self.homes.get(home.team) is not home:
-                return
-            if rows is None:
-                self._fx.later(0.2 + 0.3 * self._fx.rng.random(), lambda: self._read_back(part))
-                return
-            now = self._fx.now()
-            for attempt in list(job.staged.values()):  # none of them was launched
-                del job.staged[attempt.index]
-                job.give_back(attempt.index, now)
-            job.unsure = False
-            before, stamps = dict(job.attempts), job.stamps
-            job.stamps = {}
-            for row in rows:
-                job_id, piece = piece_of(row.path, home.team)
-                if job_id != job.id:
-                    continue
-                if row.stamp == stamps.get(piece):
-                    job.stamps[piece] = row.stamp
-                    continue
-                try:
-                    job.load(piece, row.v, row.stamp, now, self._off.get(job.id))
-                except ValueError as exc:
-                    log.error("%s", exc)
-            for index, attempt in job.attempts.items():
-                if before.get(index) is not attempt:
-                    self._place(home, job, attempt)
-            self._reread_job(job)
-            self._look(home)
-            self.rounds.wake()
-            self._commit_soon()
-
-        self._store.list(live_key(home.team, job.id), done)
-
     # -- launches
 
-    def _launch(self, home: TeamHome, zone: str, attempts: list[tuple[str, Attempt]]) -> None:
+    def launch(self, home: TeamHome, zone: str, attempts: list[tuple[str, Attempt]]) -> None:
         now = self._fx.now()
         by_token: dict[int, list[tuple[str, Attempt]]] = {}
         for job_id, attempt in attempts:
@@ -666,20 +415,20 @@
 
     # -- ends
 
-    def _end_if_clear(self, home: TeamHome, job: Job) -> None:
+    def end_if_clear(self, home: TeamHome, job: Job) -> None:
         """A terminal job leaves once none of its tasks may be on a machine."""
         if job.spec is None and not job.attempts and not job.committing and not job.unsure:
             if job.stamps:
-                self._commit_soon()
+                self.commits.soon()
             else:
                 self._end(home, job)
 
     def _end(self, home: TeamHome, job: Job) -> None:
         for attempt in list(job.attempts.values()):
             self._unplace(home, job, attempt)
-        self._clear(home, job)
+        self.clear(home, job)
         home.jobs.pop(job.id, None)
-        self._off.pop(job.id, None)
+        self.commits.off.pop(job.id, None)
 
     # -- what others want to know
 
@@ -726,20 +475,4 @@
         return list(found.values())
 
 
-class _Committed:
-    """What a transaction holds of one job."""
-
-    __slots__ = ("home", "job", "staged", "kind", "written", "kept")
-
-    def __init__(
-        self, home: TeamHome, job: Job, staged: list[Attempt], kind: str, written: Iterable[int], kept: set[int]
-    ) -> None:
-        self.home = home
-        self.job = job
-        self.staged = staged
-        self.kind = kind
-        self.written = set(written)  # pieces of the record
-        self.kept = kept  # those of them that are there afterwards
-
-
 __all__ = ["LIVE", "HomeKeeper", "TeamHome"]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -3,6 +3,7 @@
 
 from tealhook.fleet import FleetKeeper
 from tealhook.jobs.admission import Admission
+from tealhook.jobs.commits import Commits
 from tealhook.jobs.homes import HomeKeeper, TeamHome
 from tealhook.jobs.rounds import Rounds
 from tealhook.parts.keeper import PartKeeper
@@ -20,12 +21,12 @@
 
 
 def _guess_commits(patch):
-    whole = HomeKeeper._committed
+    whole = Commits._committed
 
     def guess(self, batch, outcome, epoch, failed):
         whole(self, batch, Outcome.OK if outcome is Outcome.UNSURE else outcome, epoch, failed)
 
-    patch.setattr(HomeKeeper, "_committed", guess)
+    patch.setattr(Commits, "_committed", guess)
 
 
 def _without_conditions(prefix):
