--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -37,6 +37,7 @@
         self._fx = effects
         self.settings = settings
         self._workers = settings.params.workers
+        self._ready_for_guarantees = any(o.kind == "guarantee" for o in settings.params.objectives)
         self._types: dict[str, MachineType] = {}
         self._progress: dict[str, tuple[int, int]] = {}
         self._gossip: dict[str, tuple[float, wire.Gossip]] = {}
@@ -202,7 +203,8 @@
             "cancel_s": params.workers.cancel_s,
             "begin_s": BEGIN_S,
             "boot_s": min((rig.ready_s for rig in self._types.values()), default=0.0) or params.workers.lease_s,
-            "guaranteed": sum(team.cpus for team in params.teams),
+            # Where nobody asks how soon work within a guarantee starts, no room is paid for to stand ready for it.
+            "guaranteed": sum(team.cpus for team in params.teams) if self._ready_for_guarantees else 0.0,
             "limit": sum(team.cpus_max for team in params.teams),
             "machine": max((rig.vcpus for rig in self._types.values()), default=0.0),
         }
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -31,6 +31,7 @@
 TYPES_KEY = "fleet/types"
 CALL_TIMEOUT_S = 5.0
 USED_SHARE = 0.9
+WORTH_KEEPING = 0.05  # of a machine: room that is less is not kept ready
 LIST_SHARE = 0.4  # of the calls at most: lists
 LATE_BOOT = 2.0  # of ready_s: from then on a starting machine is not counted on
 GOING_ON = 0.75  # of the CPUs taken now that stay taken over the horizon
@@ -407,6 +408,9 @@
             "peak": self._history.peak, "mean": self._history.mean,
         }
         ready = self._policy.value("ready_cpus", variables)
+        if ready < WORTH_KEEPING * min(rig.vcpus for rig in self._types.values()):
+            # A smoothed figure never comes to nothing: the last machine was kept for a trillionth of a CPU.
+            ready = 0.0
         up = coming = spot = ordinary = 0.0
         for box in self._boxes.values():
             rig = self._types.get(box.rig)
--- a/tealhook/settings/policy.py
+++ b/tealhook/settings/policy.py
@@ -20,7 +20,7 @@
     "cancel_s": "seconds within which a cancelled job must be off its machines",
     "begin_s": "seconds within which every job must begin, whatever else waits",
     "boot_s": "seconds a new machine usually needs, the least over the types on offer",
-    "guaranteed": "CPUs guaranteed to all teams together",
+    "guaranteed": "CPUs guaranteed to all teams together, if an objective is set for starts within them",
     "limit": "CPUs all teams together may use; 0: no limit",
     "used": "CPUs taken by tasks now",
     "demand": "CPUs taken by tasks, and those that would work off the waiting ones in time",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -152,3 +152,18 @@
     monkeypatch.setattr(FleetKeeper, "_release", release)
     up, world = _all_controllers_cut_off()
     assert not up <= world.cloud.machines.keys()
+
+
+def _idle(ready: bool) -> int:
+    """Machines that are left two minutes after the only job has ended."""
+    world = World(17, guarantee=8.0, ready=ready)
+    world.submit(plain=True, plays=6, expected_s=2.0, loaners=True, yard=None, rigs=None, spread=False, together=False)
+    world.run(200.0)
+    assert world.unfinished() == []
+    return len(world.cloud.machines)
+
+
+def test_room_stands_ready_for_guarantees_only_where_an_objective_asks_for_it():
+    """Guards against machines paid for though nobody wants them: in the users' check six were never returned."""
+    assert _idle(ready=False) == 0
+    assert _idle(ready=True) >= 4
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,7 +25,7 @@
 def settings_text(node: int, nodes: int, **over: Any) -> str:
     """A platform file of a small deployment."""
     values = {"report_s": 1.0, "lease_s": 9.0, "cancel_s": 30.0, "limit": 24.0, "guarantee": 0.0, "wps": 40.0,
-              "value_kb": 8.0} | over
+              "value_kb": 8.0, "ready": True} | over
     known = "".join(
         f'[[known]]\nnode = "n{i}"\ndomain = "za"\nendpoint = "10.0.0.{i + 1}:8081"\n'
         for i in range(nodes) if i != node
@@ -34,6 +34,8 @@
         f'[[params.teams]]\nname = "team-{i}"\ncpus = {values["guarantee"]}\ncpus_max = {values["limit"]}\n'
         for i in range(3)
     )
+    if values["ready"] and values["guarantee"]:
+        teams += '[[params.objectives]]\nkind = "guarantee"\nwithin_s = 5.0\nshare = 0.8\n'
     return f"""
 node = "n{node}"
 domain = "za"
