--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -132,3 +132,18 @@
     world.run(300.0)
     assert world.unfinished() == []
     assert not [key for key in world.state.rows if key.startswith("live/")]
+
+
+def test_a_job_with_a_task_on_each_of_400_machines_keeps_them_through_a_crash_of_all():
+    world = World(51, limit=9000.0, wps=100.0)
+    world.cloud.room = 220
+    job = world.submit(plain=True, plays=400, vcpus=16.0, memory_gb=33.0, expected_s=200.0, urgency="standard",
+                       loaners=True, yard=None, rigs=None, spread=False, together=False)
+    world.run(75.0)
+    before = {m.name for m in world.cloud.machines.values() if m.on_machine()}
+    assert len(before) > 370  # some come up late, or never
+    assert sum(key.startswith(f"live/{world.jobs[job].spec['crew']}/{job}") for key in world.state.rows) >= 2
+    for name in world.names:
+        world.crash(name, 0.3)
+    world.run(10.0)
+    assert before <= {m.name for m in world.cloud.machines.values() if m.on_machine()}
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -73,3 +73,23 @@
 
 def test_of_tasks_with_time_enough_those_that_lose_least_are_stopped():
     assert _stopped(due_s=1000.0) == ["req-000001"]
+
+
+def _secured(sizes: list[int]) -> list[bool]:
+    """Which jobs of tasks of 8 CPUs, in the order in which they came, lie within a guarantee of 1,800 CPUs."""
+    world = World(8, nodes=1, guarantee=1800.0, limit=3000.0)
+    world.run(10.0)
+    node = world.nodes["n0"]
+    jobs = []
+    for plays in sizes:
+        jobs.append(world.submit(crew="team-0", urgency="standard", plays=plays, vcpus=8.0, expected_s=500.0, **ALIKE))
+        world.run(1.0)
+    found = {item.job.id: item.secured for item in node.homes.rounds._groups()}
+    return [found[job] for job in jobs]
+
+
+def test_a_guarantee_of_1800_cpus_is_reckoned_exactly():
+    """Jobs count whole, in the order in which they came; one that does not fit shuts out all that come after it."""
+    assert _secured([100, 75, 50]) == [True, True, True]  # 1,800 to the CPU
+    assert _secured([100, 75, 51]) == [True, True, False]
+    assert _secured([100, 126, 1]) == [True, False, False]
