--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -220,7 +220,7 @@
             if attempt.placed is not None:
                 self._learn(home, attempt, now)
             job.mark_done(attempt.index)
-            job.note_success()
+            job.failures = 0
             # The outcome first, durably; then `clear`.
             job.to_clear.append((attempt.zone, attempt.machine, attempt.index, attempt.number))
             self.commits.soften(job, now)
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -81,7 +81,7 @@
         self.unsure = False
         self.loaded = False  # the durable record has been read
         self.to_clear: list[tuple[str, str, int, int]] = []  # (zone, machine, index, attempt) once durable
-        self.failed_on: set[str] = set()  # machines on which tasks failed since the last that was done
+        self.failures = 0
         self.not_before = 0.0
         self.avoid: list[str] = []
 
@@ -134,19 +134,8 @@
             self.done[index] = 1
             self.done_count += 1
 
-    @property
-    def failures(self) -> int:
-        """Failures in a row, one a machine: a faulty machine fails all tasks of a job that it has."""
-        return len(self.failed_on)
-
-    def note_success(self) -> None:
-        """A task is done, so the job is sound: what it waits for on account of failures is over."""
-        if self.failed_on:
-            self.failed_on.clear()
-            self.not_before = 0.0
-
     def note_failure(self, machine: str) -> None:
-        self.failed_on.add(machine)
+        self.failures += 1
         if machine in self.avoid:
             self.avoid.remove(machine)
         self.avoid.append(machine)
--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -85,7 +85,6 @@
         self.clears: set[tuple[str, int]] = set()
         self.images: OrderedDict[str, float] = OrderedDict()
         self.failed_jobs: set[str] = set()
-        self.failed_sound = 0  # tasks of sound jobs that failed here in a row
         self.told: dict[str, tuple] = {}  # what each home's owner was last told, when, and its number
         self.told_at = -1e9  # when the homes were last told
         self.hold_for: tuple[str, float] | None = None  # an aged job that holds the room, until when
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -26,8 +26,6 @@
 NEVER_S = 1e9
 MAX_ORDERS = 300  # keeps a response far below the line limit
 REPORT_GAP_S = 0.5  # the protocol: a worker never reports more often
-MAX_SOUND = 1000  # jobs known to be sound
-SOUND_FAILURES = 3  # failures in a row of tasks of sound jobs that make a machine suspect
 DEAF_LEASES = 2.0  # a machine that has not heard for so many leases is replaced
 DRIFT = 1.001  # two steady clocks, each at most 0.05% off
 DIRECT_S = 2.0  # a worker that has not answered a direct call by then is asked again later
@@ -56,7 +54,6 @@
         self._seq = 0
         self._called: dict[str, float] = {}  # machine -> when its worker was last told of our token
         self._job_errors: dict[str, set[str]] = {}
-        self._sound: dict[str, None] = {}  # jobs of which a task was done here, the latest last
         # Answer a machine's report now, if its answer is still open (see `patience`); whether it was.
         self.flush: Callable[[str], bool] = lambda name: False
         self.doubtful: Callable[[], bool] = lambda: False  # whether we have stood still, and may own nothing any more
@@ -248,24 +245,12 @@
                 )
             if play.cause == "done":
                 machine.failed_jobs.clear()
-                machine.failed_sound = 0
                 self._job_errors.pop(held.job, None)
-                self._sound[held.job] = None
-                if len(self._sound) > MAX_SOUND:
-                    self._sound.pop(next(iter(self._sound)))
             elif play.cause == "error":
                 self._note_error(machine, held.job)
 
     def _note_error(self, machine: Machine, job: str) -> None:
         """Two jobs in a row that fail here make the machine suspect; one job that fails everywhere does not."""
-        if job in self._sound:
-            # Its tasks end elsewhere, so it is the machine. Large jobs fail on several of twenty faulty machines at
-            # once; to take them for mistaken would keep all of those machines in use.
-            machine.failed_sound += 1
-            machine.failed_jobs.add(job)
-            if machine.failed_sound >= SOUND_FAILURES or len(machine.failed_jobs) >= 2:
-                self._quarantine(machine)
-            return
         places = self._job_errors.setdefault(job, set())
         places.add(machine.name)
         if len(self._job_errors) > 1000:
@@ -276,14 +261,9 @@
                     self.machines[name].failed_jobs.discard(job)
             return
         machine.failed_jobs.add(job)
-        if len(machine.failed_jobs) >= 2:
-            self._quarantine(machine)
-
-    def _quarantine(self, machine: Machine) -> None:
-        if not machine.sick:
-            log.info("%s fails its tasks: no longer used", machine.name)
+        if len(machine.failed_jobs) >= 2 and not machine.sick:
+            log.info("%s fails tasks of several jobs: no longer used", machine.name)
             machine.sick = True
-            self.room.touch(machine)
 
     def _settle_bookings(self, machine: Machine, held: dict[tuple[str, int], Held]) -> None:
         for booking in machine.open_bookings():
