--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -28,7 +28,7 @@
     world.run(60.0)
     assert world.starts == 24
     told, looked = [], []
-    whole = Mesh.send
+    whole, whole_look = Mesh.send, Part.look
 
     def send(self, peer, body):
         if isinstance(body, mesh.MachineNews):
@@ -39,7 +39,6 @@
         looked.extend(request.machines)
         return whole_look(self, request)
 
-    whole_look = Part.look
     monkeypatch.setattr(Mesh, "send", send)
     monkeypatch.setattr(Part, "look", look)
     world.run(20.0)
