--- a/tests/standins.py
+++ b/tests/standins.py
@@ -254,6 +254,7 @@
         self.last_sent = 0.0
         self.answered_sent = 0.0
         self.lease_from = 0.0
+        self.drift = 1.0  # of its steady clock
 
     def boot(self) -> None:
         if not self.dead:
@@ -288,7 +289,7 @@
         world = self.world
         if not self.up or self.hung:
             return
-        if world.now - self.lease_from > world.settings.params.workers.lease_s:
+        if (world.now - self.lease_from) * self.drift > world.settings.params.workers.lease_s:
             self.plays.clear()
             self.shift += 1
             self.flying = False
--- /dev/null
+++ b/tests/test_gap.py
@@ -0,0 +1,127 @@
+"""Cancellations confirmed elsewhere while the leader alone is refused by the state service, then an outage for all.
+
+The leader can't learn of them for longer than `cancel_s`, and its workers go on reporting to it. Only that it stops
+answering in time, and their leases, end those tasks.
+"""
+
+from collections import Counter
+
+import pytest
+
+from tealhook.parts.keeper import PartKeeper
+from tealhook.parts.part import DRIFT
+from tests.world import Broken, SimEffects, World
+
+ALIKE = {"plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
+         "urgency": "standard", "vcpus": 2.0, "shape": "array"}
+DRIFTS = (1.0, 1.0005)  # of a steady clock, by the protocol
+
+
+def _leader(world: World) -> str:
+    """The node with most machines under its parts."""
+    return max(world.nodes, key=lambda name: sum(len(p.machines) for p in world.nodes[name].parts.parts.values()))
+
+
+def _count_answers(monkeypatch: pytest.MonkeyPatch) -> Counter:
+    """Answers given with 200 by way of another node, and those that had been held open."""
+    counts: Counter = Counter()
+    whole_report, whole_flush = PartKeeper.report, PartKeeper._flush
+
+    def report(self, body, reply, *, relayed=False):
+        def counted(status, data):
+            counts["relayed"] += relayed and status == 200
+            reply(status, data)
+
+        whole_report(self, body, counted, relayed=relayed)
+
+    def flush(self, name):
+        held = whole_flush(self, name)
+        counts["held open"] += held
+        return held
+
+    monkeypatch.setattr(PartKeeper, "report", report)
+    monkeypatch.setattr(PartKeeper, "_flush", flush)
+    return counts
+
+
+def _gap(seed: int, monkeypatch: pytest.MonkeyPatch, **over: float) -> tuple[World, list[str], Counter]:
+    """Two gaps in one run; the ids of the jobs cancelled in them while the leader was refused; answers in gaps."""
+    counts = _count_answers(monkeypatch)
+    leader_drift, worker_drift = DRIFTS[seed % 2], DRIFTS[seed // 2 % 2]
+    whole = SimEffects.__init__
+
+    def init(self, *args) -> None:
+        whole(self, *args)
+        self.drift = leader_drift
+
+    monkeypatch.setattr(SimEffects, "__init__", init)
+    world = World(seed, limit=96.0, wps=60.0, **over)
+    world.cloud.room = 4
+    for _ in range(8):
+        world.submit(plays=6, expected_s=300.0, **ALIKE)
+    world.run(45.0)
+    cancel_s = world.settings.params.workers.cancel_s
+    cancelled: list[str] = []
+    for _ in range(2):
+        leader = _leader(world)
+        for worker in world.cloud.machines.values():
+            worker.drift = worker_drift
+        # Some workers reach the leader by way of others only, so that their reports are relayed; one machine hangs.
+        machines = [name for part in world.nodes[leader].parts.parts.values() for name in part.machines]
+        for name in machines[:: 3]:
+            world.network.cut(leader, name)
+        world.run(6.0)
+        world.state.refuses = {leader}
+        running = {play.rpartition("/")[0] for w in world.cloud.machines.values() for play, _ in w.on_machine()}
+        chosen = sorted(running - set(cancelled))[:3]
+        for job in chosen:
+            world.at(world.rng.uniform(0.0, 0.7), lambda job=job: world.cancel(job))
+        world.run(1.6)
+        confirmed = [job for job in chosen if world.jobs[job].cancelled_at is not None]
+        cancelled += confirmed
+        world.state.outage(True)
+        hung = [w for w in world.cloud.machines.values() if w.on_machine()][:1]
+        for worker in hung:
+            worker.hung = True
+            counts["hung"] += 1
+            world.at(world.settings.params.workers.lease_s / 2, lambda worker=worker: setattr(worker, "hung", False))
+        world.run(1.45 * cancel_s)
+        world.state.outage(False)
+        world.state.refuses = set()
+        world.network.heal()
+        for _ in range(4):
+            world.submit(plays=6, expected_s=300.0, **ALIKE)
+        world.run(35.0)
+    return world, cancelled, counts
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_tasks_cancelled_in_a_gap_are_gone_in_time(seed, monkeypatch):
+    world, cancelled, counts = _gap(seed, monkeypatch)
+    assert len(cancelled) >= 2
+    assert all(counts[kind] for kind in ("relayed", "held open", "hung")), counts
+    on = {play.rpartition("/")[0] for w in world.cloud.machines.values() for play, _ in w.on_machine()}
+    assert not on & set(cancelled)
+
+
+def test_a_leader_that_answers_on_through_a_gap_is_found_out(monkeypatch):
+    whole = PartKeeper.__init__
+
+    def blind(self, *args, **more):
+        whole(self, *args, **more)
+        self._blind_s = 1e9
+
+    monkeypatch.setattr(PartKeeper, "__init__", blind)
+    with pytest.raises(Broken, match="ran_cancelled"):
+        _gap(0, monkeypatch)
+
+
+@pytest.mark.parametrize(("report_s", "lease_s", "cancel_s"), [(1.0, 9.0, 30.0), (1.0, 11.0, 36.0), (3.0, 21.0, 46.0)])
+def test_the_chain_from_a_view_to_the_end_of_a_lease_fits(report_s, lease_s, cancel_s):
+    """With the worst of each figure: a report sent just before its answer, and nothing said to its worker since."""
+    world = World(1, nodes=1, report_s=report_s, lease_s=lease_s, cancel_s=cancel_s)
+    keeper = world.nodes["n0"].parts
+    view_s = keeper._blind_s * max(DRIFTS) / min(DRIFTS)  # the oldest view on which an answer is given, in true time
+    worker_s = lease_s * max(DRIFTS) / min(DRIFTS) + 0.1  # a worker's lease by the slowest clock, and its own lateness
+    assert max(DRIFTS) / min(DRIFTS) <= DRIFT
+    assert 0 < view_s + worker_s <= cancel_s
