--- /dev/null
+++ b/tests/test_meetings_users.py
@@ -0,0 +1,505 @@
+"""When two troubles meet, and users are in it: close looks, cancellations at bad moments, odd requests."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from tealhook.fleet import FleetKeeper
+from tealhook.jobs.admission import Admission
+from tealhook.jobs.homes import TeamHome
+from tealhook.jobs.rounds import Rounds
+from tests import users
+from tests.standins import Worker
+from tests.users import PLAIN
+from tests.world import Broken, World
+
+SEEDS = range(3)
+
+
+def _kinds(world: World, kinds: str) -> set[str]:
+    """Nodes that own keys of some kinds, as the state service has it."""
+    return {row[0]["n"] for key, row in world.state.rows.items() if key.startswith(tuple(kinds.split()))}
+
+
+def _change_leader(world: World, back: float = 4.0) -> None:
+    """Every node that owns a part, a home or the fleet ends, one shortly after the other; then they return."""
+    owners = _kinds(world, "own/part own/home own/fleet")
+    assert owners
+    for i, name in enumerate(sorted(owners)):
+        world.at(0.2 * i, lambda name=name: world.crash(name, back))
+        world.happened["owner ended"] += 1
+
+
+def _all_end(world: World) -> None:
+    assert world.unfinished() == []
+    assert world.starts > 0
+
+
+# -- close looks
+
+
+def _close_looks(seed: int) -> World:
+    world = World(seed, limit=48.0)
+    world.looks = 1.0
+    world.run(15.0)
+    for i in range(14):
+        world.at(2.0 * i, lambda: world.submit(plays=2, vcpus=1.0, expected_s=3.0, **PLAIN))
+    world.at(3.0, lambda: [world.cancel(job) for job in list(world.jobs)[:1]])
+    world.run(110.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_node_answers_older_within_milliseconds(seed):
+    world = _close_looks(seed)
+    _all_end(world)
+    for occasion in ("accepted", "ended", "done", "cancelled", "with a cancellation"):
+        name = "close look with a cancellation" if occasion.startswith("with") else f"close look: {occasion}"
+        assert world.happened[name] > 0, name
+    assert world.happened["close look: accepted"] == 14
+
+
+def test_answers_from_memory_are_found_out_by_close_looks(monkeypatch):
+    whole = Admission.show
+
+    def show(self, job, reply):
+        if job in self._book.active:
+            reply(200, self._status_body(job, "active"))
+        else:
+            whole(self, job, reply)
+
+    monkeypatch.setattr(Admission, "show", show)
+    with pytest.raises(Broken, match="went_back"):
+        for seed in SEEDS:
+            _close_looks(seed)
+
+
+# -- the end of a job's last task
+
+
+def _met_ends(seed: int, kind: str) -> World:
+    world = World(seed, limit=48.0)
+    world.run(15.0)
+    world.meets, world.meeting = 1.0, (kind,)
+    for i in range(30):
+        world.at(0.7 * i, lambda: world.submit(plays=1 + seed % 2, vcpus=1.0, expected_s=2.0, **PLAIN))
+    world.run(70.0)
+    return world
+
+
+@pytest.mark.parametrize("kind", ["cancel", "question", "repeat"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_request_meets_the_end_of_a_jobs_last_task(seed, kind):
+    world = _met_ends(seed, kind)
+    _all_end(world)
+    assert world.happened[f"{kind} at the end"] >= 25
+    finals = [job.final for job in world.jobs.values()]
+    if kind == "cancel":
+        assert "cancelled" in finals and "done" in finals
+    else:
+        assert set(finals) == {"done"}
+    assert world.late_starts == []
+
+
+# -- one-task jobs, four a second
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_one_task_jobs_come_four_a_second_on_a_small_budget(seed):
+    world = World(seed, wps=30.0, limit=48.0)
+    world.cloud.room = 4
+    world.run(20.0)
+    ids = users.stream(world, 120.0)
+    world.run(150.0)
+    _all_end(world)
+    assert len(ids) == world.happened["job of a stream"] == 480
+    assert 80 < world.happened["cancelled job of a stream"] < 160
+    assert set(world.nodes) == set(world.names) and max(world.lives.values()) == len(world.names)
+    took = sorted(world.jobs[job].answered_at - world.jobs[job].submitted_at for job in ids)
+    assert took[len(took) * 9 // 10] < 1.0 and took[-1] < 10.0
+    assert max(world.jobs[job].longest_s for job in ids) < 20.0
+
+
+# -- tasks that end far apart across a change of leader
+
+
+def _far_apart(seed: int, monkeypatch) -> World:
+    """Jobs of two or three tasks of which one ends before the change and one long after."""
+    whole = Worker._launch
+
+    def launch(self, name, world):
+        play = whole(self, name, world)
+        if play["status"] == "pulling" and name not in world.finished:
+            play["run"] = 3.0 if name.endswith("/0") else 45.0 + world.rng.uniform(0.0, 10.0)
+        return play
+
+    monkeypatch.setattr(Worker, "_launch", launch)
+    world = World(seed, limit=48.0)
+    world.run(15.0)
+    for i in range(6):
+        world.submit(plays=2 + i % 2, vcpus=1.0, expected_s=20.0, **PLAIN)
+    world.run(22.0)
+    before = [job for job in world.jobs if f"{job}/0" in world.finished]
+    assert len(before) == 6 and len(world.finished) == 6
+    _change_leader(world)
+    world.run(20.0)
+    assert len(world.finished) == 6 and not any(job.final for job in world.jobs.values())
+    world.run(70.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_tasks_that_end_far_apart_across_a_change_of_leader(seed, monkeypatch):
+    world = _far_apart(seed, monkeypatch)
+    assert world.happened["owner ended"] > 0
+    _all_end(world)
+    assert {job.final for job in world.jobs.values()} == {"done"}
+    assert world.starts <= 15 + 6 + 3  # at most the tasks that had ended are run again
+
+
+# -- every team at its limit
+
+
+def _at_the_limit(seed: int, cut: bool) -> World:
+    """Every team has more work than its limit; running jobs are cancelled whose machines hang or are cut off, and
+    the leader changes at once."""
+    world = World(seed, limit=16.0)
+    world.cloud.room = 6
+    world.run(15.0)
+    for i in range(18):
+        world.submit(plays=4, vcpus=2.0, expected_s=60.0, **PLAIN | {"crew": f"team-{i % 3}"})
+    world.run(30.0)
+    used = {
+        team: sum(
+            2.0 for machine in world.cloud.machines.values() for name, _ in machine.on_machine()
+            if world.jobs[name.rpartition("/")[0]].spec["crew"] == team
+        ) for team in ("team-0", "team-1", "team-2")
+    }
+    assert set(used.values()) == {16.0}  # at its limit, each
+    chosen = users.cancel_now(world, 4, hang_s=0.0 if cut else 25.0, to_go=10.0)
+    assert len(chosen) == 4
+    if cut:
+        for machine in world.cloud.machines.values():
+            if any(name.rpartition("/")[0] in chosen for name, _ in machine.on_machine()):
+                world.happened["cut off under a cancelled job"] += 1
+                for name in world.names:
+                    world.network.cut(name, machine.name)
+        world.at(25.0, world.network.heal)
+    world.at(0.3, lambda: _change_leader(world, back=1.0))
+    world.run(60.0)
+    assert all(world.jobs[job].final == "cancelled" for job in chosen)
+    return world
+
+
+@pytest.mark.parametrize("cut", [False, True], ids=["hang", "cut off"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_every_team_at_its_limit_while_machines_of_cancelled_jobs_are_out_of_reach(seed, cut):
+    world = _at_the_limit(seed, cut)
+    assert world.happened["cut off under a cancelled job" if cut else "hung under a cancelled job"] >= 2
+    assert world.happened["owner ended"] > 0
+    running = {name.rpartition("/")[0] for m in world.cloud.machines.values() for name, _ in m.on_machine()}
+    assert running and not any(world.jobs[job].final == "cancelled" for job in running)
+
+
+def test_not_to_count_tasks_of_cancelled_jobs_is_found_out(monkeypatch):
+    def taken(self, which=0):
+        return sum(
+            job.need[which] * (len(job.attempts) + len(job.staged))
+            for job in self.jobs.values() if job.spec is not None
+        )
+
+    monkeypatch.setattr(TeamHome, "taken", taken)
+    with pytest.raises(Broken, match="quota"):
+        for seed in SEEDS:
+            _at_the_limit(seed, False)
+
+
+def test_cancelled_tasks_on_hanging_machines_are_gone_in_time():
+    """The machines hang for longer than `cancel_s`: only their release ends what is on them."""
+    world = _hung_for_long(1)
+    assert world.happened["hung under a cancelled job"] >= 2
+
+
+def _hung_for_long(seed: int) -> World:
+    world = World(seed, limit=48.0)
+    world.run(15.0)
+    for _ in range(8):
+        world.submit(plays=3, vcpus=2.0, expected_s=120.0, **PLAIN)
+    world.run(25.0)
+    hung = users.cancel_now(world, 3, hang_s=50.0, to_go=20.0)
+    assert len(hung) == 3
+    world.run(70.0)
+    return world
+
+
+def test_to_leave_hanging_machines_alone_is_found_out(monkeypatch):
+    monkeypatch.setattr(FleetKeeper, "fence", lambda self, machines: None)
+    with pytest.raises(Broken, match="ran_cancelled"):
+        _hung_for_long(1)
+
+
+# -- cancellations while work changes hands
+
+
+def _hand_over(seed: int, calm: bool) -> World:
+    """Jobs are cancelled, one each 0.1 s, from just before the change until the new owners have looked around."""
+    world = World(seed, limit=48.0)
+    world.cloud.room = 4
+    world.run(15.0)
+    if calm:  # a node is away, the others own everything; its return is the change
+        world.crash("n1", 40.0)
+        world.run(12.0)
+    for i in range(40):
+        world.at(0.3 * i, lambda: world.submit(plays=2, vcpus=1.0, expected_s=25.0, **PLAIN))
+    world.run(20.0)
+    before = {key: row[1] for key, row in world.state.rows.items() if key.startswith("own/") and "node" not in key}
+    jobs = iter(list(world.jobs))
+
+    def cancel_one() -> None:
+        job = next(jobs, None)
+        if job is not None:
+            if world.jobs[job].final is None:
+                world.happened["cancelled in the hand-over"] += 1
+                world.cancel(job)
+            world.at(0.15, cancel_one)
+
+    def changed() -> bool:
+        return any(before.get(key) != row[1] for key, row in world.state.rows.items() if key in before)
+
+    if calm:
+        for _ in range(600):
+            world.run(0.1)
+            if changed() or any(key not in world.state.rows for key in before):
+                break
+    else:
+        _change_leader(world)
+        world.run(1.0)
+    cancel_one()
+    for _ in range(100):
+        world.run(0.1)
+    assert changed()
+    world.run(60.0)
+    return world
+
+
+@pytest.mark.parametrize("calm", [False, True], ids=["crash", "hand-over"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_cancellations_while_work_changes_hands(seed, calm):
+    world = _hand_over(seed, calm)
+    assert world.happened["cancelled in the hand-over"] >= 15
+    _all_end(world)
+    assert not [late for late in world.late_starts if late[3] == "owner unaware"], world.late_starts
+    # What was in flight, or fetching its image, as the cancellation was confirmed.
+    assert all(seconds < 2.5 for _, _, seconds, _ in world.late_starts), world.late_starts
+
+
+# -- more work than room, and slow links
+
+
+def _crowded(seed: int) -> World:
+    world = World(seed, limit=32.0)
+    world.network.slowest = 0.25
+    for i in range(40):
+        urgency = ("urgent", "standard", "low", "production")[i % 4]
+        world.at(1.0 * i, lambda urgency=urgency: world.submit(
+            plays=6, vcpus=4.0, expected_s=6.0, **PLAIN | {"urgency": urgency}))
+    world.run(45.0)
+    waits = sum(job.started_at is None for job in world.jobs.values())
+    world.happened["jobs that wait"] = waits
+    users.cancel_now(world, 5, to_go=1.0)
+    world.run(400.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_more_work_than_room_over_slow_links(seed):
+    world = _crowded(seed)
+    assert world.happened["jobs that wait"] >= 5 and world.happened["cancelled now"] >= 3
+    _all_end(world)
+    first = {
+        urgency: [job.started_at - job.submitted_at for job in world.jobs.values()
+                  if job.spec["urgency"] == urgency and job.started_at is not None] for urgency in ("urgent", "low")
+    }
+    assert sum(first["urgent"]) / len(first["urgent"]) < sum(first["low"]) / len(first["low"])
+
+
+def test_the_largest_jobs_begin_within_four_minutes():
+    world = World(4, limit=48.0)
+    world.network.slowest = 0.25
+    for i in range(90):
+        world.at(1.5 * i, lambda i=i: world.submit(
+            plays=4, vcpus=2.0, expected_s=5.0, **PLAIN | {"urgency": ("urgent", "standard")[i % 2]}))
+    world.run(20.0)
+    largest = [world.submit(plays=60, vcpus=8.0, memory_gb=16.0, expected_s=5.0, **PLAIN | {
+        "urgency": "low", "crew": f"team-{i}"}) for i in range(3)]
+    world.run(250.0)
+    assert sum(job.started_at is not None for job in world.jobs.values()) > 60
+    for job in largest:
+        assert world.jobs[job].started_at is not None
+        assert world.jobs[job].started_at - world.jobs[job].accepted_at < 240.0
+
+
+# -- jobs bound to one zone
+
+
+def _bound(seed: int) -> World:
+    """Jobs of one zone, by name or together, lose half of its machines, and then the other half."""
+    world = World(seed, limit=48.0)
+    world.cloud.room = 3
+    world.run(15.0)
+    jobs = [
+        world.submit(plays=4, vcpus=2.0, expected_s=20.0, **PLAIN | {
+            "yard": "za" if i % 2 else None, "together": i % 4 != 1, "loaners": i % 3 != 0})
+        for i in range(8)
+    ]
+    world.run(25.0)
+    for _ in range(2):
+        machines = [machine for machine in world.cloud.machines.values() if machine.on_machine()]
+        for machine in machines[: (len(machines) + 1) // 2]:
+            world.happened["machine with tasks lost"] += 1
+            world.happened["tasks lost"] += len(machine.on_machine())
+            machine.fail()
+        world.run(6.0)
+    assert any(world.jobs[job].final is None for job in jobs)
+    world.run(220.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_jobs_bound_to_one_zone_lose_machines(seed):
+    world = _bound(seed)
+    assert world.happened["machine with tasks lost"] >= 4 and world.happened["tasks lost"] >= 8
+    _all_end(world)
+    assert world.starts >= 32 + 8
+    assert {job.final for job in world.jobs.values()} == {"done"}
+
+
+def test_to_place_without_limits_of_zones_is_found_out(monkeypatch):
+    monkeypatch.setattr(Rounds, "_limits", lambda self, job, zones: {})
+    with pytest.raises(Broken, match="wrong_place"):
+        for seed in SEEDS:
+            _bound(seed)
+
+
+# -- odd requests
+
+
+def test_odd_requests_are_refused_or_answered_as_ever():
+    world = World(6, limit=48.0)
+    world.run(15.0)
+    for i in range(8):
+        world.at(2.0 * i, lambda: world.submit(plays=2, vcpus=1.0, expected_s=6.0, **PLAIN))
+    world.at(5.0, lambda: users.odd_requests(world, 150, 40.0))
+    world.run(80.0)
+    _all_end(world)
+    for name in ("refused as 400", "refused as 422", "unknown id", "repeat of an unfinished job",
+                 "cancellation of a done job"):
+        assert world.happened[name] >= 10, name
+    assert {job.final for job in world.jobs.values()} == {"done"}
+
+
+NULLABLE = {"rigs", "yard", "due_s"}
+
+
+@pytest.mark.parametrize("field", sorted(World(0).spec("req-000000").keys() - NULLABLE))
+@pytest.mark.parametrize("null", [False, True], ids=["absent", "null"])
+def test_a_job_that_lacks_a_field_is_refused(field, null):
+    """By the protocol only a field that may be null may be omitted."""
+    world = World(7, nodes=1)
+    world.run(10.0)
+    spec = world.spec("req-lacking")
+    assert field in spec
+    if null:
+        spec[field] = None
+    else:
+        del spec[field]
+    statuses = []
+    world.ask("POST", "/work", json.dumps(spec).encode(), lambda status, data, asked: statuses.append(status))
+    world.run(5.0)
+    assert statuses == [400]
+
+
+# -- the checker itself
+
+
+def _alone(seed: int = 1) -> tuple[World, str]:
+    world = World(seed, limit=48.0)
+    world.run(15.0)
+    job = world.submit(plays=2, vcpus=1.0, expected_s=400.0, **PLAIN)
+    world.run(30.0)
+    assert world.jobs[job].started_at is not None
+    return world, job
+
+
+def test_a_task_on_a_hung_or_cut_machine_is_still_seen_by_the_checker():
+    for hang in (True, False):
+        world, job = _alone()
+        machines = [m for m in world.cloud.machines.values() if m.on_machine()]
+        assert machines
+        for machine in machines:
+            if hang:
+                machine.hung = True
+            else:
+                for name in world.names:
+                    world.network.cut(name, machine.name)
+        world.jobs[job].cancelled_at = world.now - 31.0  # as if its user had been told so then
+        with pytest.raises(Broken, match="ran_cancelled"):
+            world.run(0.2)
+
+
+def test_a_start_after_a_confirmed_cancellation_is_counted(monkeypatch):
+    """An owner that does not look whether a job is cancelled launches its tasks."""
+    world, job = _alone()
+    machine = next(m for m in world.cloud.machines.values() if m.on_machine())
+    world.jobs[job].cancelled_at = world.now - 10.0
+    world.check_start(machine, machine.on_machine()[0])
+    assert [late[:2] for late in world.late_starts] == [(machine.on_machine()[0][0], machine.name)]
+    world.jobs[job].cancelled_at = world.now - 31.0
+    with pytest.raises(Broken, match="ran_cancelled"):
+        world.check_start(machine, machine.on_machine()[0])
+
+
+def test_a_job_left_waiting_beside_room_is_found_out(monkeypatch):
+    world, _job = _alone()
+    world.calm_at = world.now
+    monkeypatch.setattr(Rounds, "_groups", lambda self: [])
+    world.submit(plays=1, vcpus=1.0, expected_s=1.0, **PLAIN)
+    with pytest.raises(Broken, match="left_waiting"):
+        world.run(120.0)
+
+
+@pytest.mark.parametrize("calm", [True, False])
+def test_a_job_about_which_no_question_is_answered_is_found_out(calm, monkeypatch):
+    world, job = _alone()
+    world.submit(plays=1, vcpus=1.0, expected_s=400.0, **PLAIN)
+    if calm:
+        world.calm_at = world.now
+    whole = Admission.show
+
+    def show(self, asked, reply):
+        if asked == job:
+            self._later(reply, "not now")
+        else:
+            whole(self, asked, reply)
+
+    monkeypatch.setattr(Admission, "show", show)
+    world.run(60.0)
+    with pytest.raises(Broken, match="forgotten"):
+        world.run(40.0)
+
+
+def test_a_job_accepted_though_it_cannot_run_and_ids_made_up_are_found_out(monkeypatch):
+    world, _job = _alone()
+    monkeypatch.setattr(Admission, "_never", lambda self, spec: None)
+    users.odd_job(world, fits_none=True)
+    with pytest.raises(Broken, match="accepted_wrong"):
+        world.run(5.0)
+    monkeypatch.undo()
+    world, _job = _alone()
+    monkeypatch.setattr(Admission, "show", lambda self, job, reply: reply(200, self._status_body(job, "done")))
+    for _ in range(8):
+        users.ask_unknown(world, "req-999999")
+    with pytest.raises(Broken, match="invented"):
+        world.run(5.0)
