Submissions judged field by field as the protocol's table says

Only rigs, yard and due_s may be null or left out; every other field must be there, of its own type, finite and not negative: 400 otherwise. The id is read first and alone, so that a repeat of an accepted job gets 200 whatever else its body holds; a 400 or 422 after that is given only when a read says absent. Spread with one zone asked for is a contradiction (400, was 422). Job records are decoded as leniently as before.

--- a/tealhook/http/parser.py
+++ b/tealhook/http/parser.py
@@ -1,7 +1,8 @@
 """An incremental HTTP/1.1 parser for requests and responses.
 
-It never holds more than its limits: the head is refused with 431, the body with 413, as soon as they
-are known to be too large, and before they are buffered.
+It never holds more than its limits: the head is refused with 431, the body with 400, as soon as they
+are known to be too large, and before they are buffered. (413 would be more to the point, but users know only 400 as
+final: any other status they would repeat for a minute.)
 """
 
 from __future__ import annotations
@@ -103,7 +104,7 @@
         else:
             if self._length is None or len(self._buffer) < self._length:
                 if len(self._buffer) > self._max_body:
-                    raise HttpError(413, "body too large")
+                    raise HttpError(400, "body too large")
                 return None
             self._body = self._buffer[: self._length]
             del self._buffer[: self._length]
@@ -178,7 +179,7 @@
             if not (length.isascii() and length.isdecimal()):
                 raise HttpError(400, "malformed content-length")
             if len(length) > 12 or int(length) > self._max_body:
-                raise HttpError(413, "body too large")
+                raise HttpError(400, "body too large")
             self._length = int(length)
         elif self._responses and self._message.status not in (204, 304):
             self._length = None
@@ -206,7 +207,7 @@
                 except ValueError:
                     raise HttpError(400, "malformed chunk") from None
                 if len(self._body) + self._chunk_left > self._max_body:
-                    raise HttpError(413, "body too large")
+                    raise HttpError(400, "body too large")
                 if self._chunk_left == 0:
                     self._chunk_left = -2
                     continue
--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -67,22 +67,35 @@
     # -- submissions
 
     def submit(self, body: bytes, reply: Reply) -> None:
+        """Accept a job, or say what became of it: repeats get 200 whatever else they hold, and however late."""
+        spec: JobSpec | None = None
+        refusal: tuple[int, str] | None = None
         try:
             spec = parse_job(body)
+            job = spec.name_id
         except BadSpec as exc:
-            reply(400, error_body(str(exc)))
-            return
-        ended = self._book.ended.get(spec.name_id)
+            if exc.job is None:
+                reply(400, error_body(str(exc)))
+                return
+            job = exc.job
+            refusal = 400, str(exc)
+        ended = self._book.ended.get(job)
         if ended is not None:
-            reply(200, self._status_body(spec.name_id, ended[0]))
+            reply(200, self._status_body(job, ended[0]))
             return
         if self._busy(Priority.ADMIT, reply):
             return
-        why = self._never(spec)
-        if why is not None or not self._types:
+        if spec is not None:
+            why = self._never(spec)
+            refusal = (422, why) if why is not None else None
+        if spec is None or refusal is not None or not self._types or job in self._book.active:
             # Whether it was accepted earlier comes first: what is known of teams and types may change.
-            self._answer_known(spec.name_id, reply, why)
+            # An active job is read too: by now it may have ended.
+            self._answer_known(job, reply, refusal)
             return
+        self._accept(spec, reply)
+
+    def _accept(self, spec: JobSpec, reply: Reply) -> None:
         record = JobRecord(spec.crew, ACTIVE, spec, round(self._fx.wall(), 1))
         key = job_key(spec.name_id)
 
@@ -98,22 +111,22 @@
 
         value = msgspec.to_builtins(record)
         if len(dumps(value)) > self._store.value_bytes:
-            reply(400, error_body("too large"))
+            self._answer_known(spec.name_id, reply, (400, "too large to be kept"))
             return
         self._store.txn(
             {key: 0}, [state_wire.put(key, value)], Priority.ADMIT, done, LONGEST_WAIT_S, READ_TIMEOUT_S
         )
 
-    def _answer_known(self, job: str, reply: Reply, never: str | None) -> None:
-        """200 when the record exists; else 422 with `never`, or come back later."""
+    def _answer_known(self, job: str, reply: Reply, refusal: tuple[int, str] | None) -> None:
+        """200 when the record exists; `refusal`, status and reason, when it surely does not; else come back later."""
 
         def read(kind: str, row: state_wire.Row | None) -> None:
             record = parse_record(row.v) if row is not None else None
             if record is not None:
                 self._book.learn(job, record, row.stamp)
                 reply(200, self._status_body(job, record.st))
-            elif kind == "absent" and never is not None:
-                reply(422, error_body(never))
+            elif kind == "absent" and refusal is not None:
+                reply(refusal[0], error_body(refusal[1]))
             else:
                 self._later(reply, "not decided yet")
 
@@ -138,8 +151,6 @@
                 break
         else:
             return "a task fits no allowed machine type"
-        if spec.spread and spec.plays > 1 and (spec.together or spec.yard is not None):
-            return "spread tasks can't all be in one zone"
         return None
 
     # -- polls
--- a/tealhook/wire/users.py
+++ b/tealhook/wire/users.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import math
 import re
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
 MAX_TASKS = 100_000
+MAX_LINEUP = 200  # characters; the name goes along with demand from node to node
 URGENCIES = ("low", "standard", "urgent", "production")
 ARRAY, GANG, SERVICE = "array", "group", "service"
 SHAPES = (ARRAY, GANG, SERVICE)
@@ -18,9 +22,14 @@
 class BadSpec(ValueError):
     """A submission that is malformed (400)."""
 
+    job: str | None = None  # its id; None when none can be read, so that it repeats nothing
+
 
 class JobSpec(msgspec.Struct, omit_defaults=True):
-    """A submission, field by field as users send it."""
+    """A submission, field by field as users send it.
+
+    Job records hold it without what has its default, so it is read more leniently than `parse_job` reads users.
+    """
 
     name_id: str
     lineup: str
@@ -63,40 +72,136 @@
     return bool(_JOB_ID.match(text))
 
 
-_decoder = msgspec.json.Decoder(dict)
+_fields_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_value_decoder = msgspec.json.Decoder()
+_AFTER_NAME = re.compile(r'"\s*:')  # follows each name of an object, and rarely stands elsewhere
 
 
-def _drop_nulls(raw: dict) -> dict:
-    return {key: value for key, value in raw.items() if value is not None}
+def _name(value: Any) -> str:
+    if type(value) is not str or not value:
+        raise BadSpec("must be a string, and not empty")
+    return value
 
 
-def parse_job(body: bytes) -> JobSpec:
-    """Decode and check a submission; raises BadSpec when it is malformed."""
+def _lineup(value: Any) -> str:
+    if len(_name(value)) > MAX_LINEUP:
+        raise BadSpec(f"must have at most {MAX_LINEUP} characters")
+    return value
+
+
+def _one_of(names: tuple[str, ...]) -> Callable[[Any], str]:
+    def check(value: Any) -> str:
+        if type(value) is not str or value not in names:
+            raise BadSpec(f"must be one of {', '.join(names)}")
+        return value
+
+    return check
+
+
+def _plays(value: Any) -> int:
+    # A count is an integer: 16.0 is an amount, as true is a flag.
+    if type(value) is not int or not 1 <= value <= MAX_TASKS:
+        raise BadSpec(f"must be an integer between 1 and {MAX_TASKS}")
+    return value
+
+
+def _amount(value: Any) -> float:
+    if type(value) is int or type(value) is float:
+        try:
+            amount = float(value)
+        except OverflowError:
+            amount = math.inf
+        if math.isfinite(amount) and amount >= 0:
+            return amount + 0.0  # -0.0 is 0.0
+    raise BadSpec("must be a number, finite and not negative")
+
+
+def _flag(value: Any) -> bool:
+    if type(value) is not bool:
+        raise BadSpec("must be true or false")
+    return value
+
+
+def _rigs(value: Any) -> list[str]:
+    if type(value) is not list or not value:
+        raise BadSpec("must be a list of at least one type, or null")
+    return [_name(rig) for rig in value]
+
+
+# Each field of a submission but its id; NULLABLE are those that the protocol calls null or something else.
+_CHECKS: dict[str, Callable[[Any], Any]] = {
+    "lineup": _lineup, "crew": _name, "shape": _one_of(SHAPES), "urgency": _one_of(URGENCIES), "plays": _plays,
+    "vcpus": _amount, "cards": _amount, "memory_gb": _amount, "playbook": _name, "pull_gb": _amount,
+    "rigs": _rigs, "yard": _name, "together": _flag, "spread": _flag, "loaners": _flag,
+    "expected_s": _amount, "snapshot_every_s": _amount, "snapshot_s": _amount, "due_s": _amount,
+}
+NULLABLE = frozenset(("rigs", "yard", "due_s"))
+
+
+def _repeated(text: str, fields: dict[str, msgspec.Raw]) -> set[str]:
+    """Names that an object has more than once: nobody can say which of their values is meant."""
+    if len(_AFTER_NAME.findall(text)) == len(fields):
+        return set()  # as many names as fields, so each once
+    seen: set[str] = set()
+    repeated: set[str] = set()
+    for name, _text in json.loads(text, object_pairs_hook=list, parse_int=str, parse_float=str):
+        (repeated if name in seen else seen).add(name)
+    return repeated
+
+
+def _value(fields: dict[str, msgspec.Raw], name: str) -> Any:
+    """What a field holds; None also when it is missing."""
+    raw = fields.get(name)
+    if raw is None:
+        return None
     try:
-        raw = _decoder.decode(body)
-        spec = msgspec.convert(_drop_nulls(raw), JobSpec)
-    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError, UnicodeDecodeError) as exc:
+        return _value_decoder.decode(raw)
+    except msgspec.DecodeError as exc:  # a number too large for any type, for one
         raise BadSpec(str(exc)) from None
-    if not valid_job_id(spec.name_id):
-        raise BadSpec("name_id: not a job id")
-    if not spec.lineup or not spec.crew or len(spec.lineup) > 200 or len(spec.crew) > 120:
-        raise BadSpec("lineup, crew: must be present and short")
-    if spec.shape not in SHAPES:
-        raise BadSpec(f"shape: must be one of {', '.join(SHAPES)}")
-    if spec.urgency not in URGENCY_RANK:
-        raise BadSpec("urgency: unknown")
-    if not 1 <= spec.plays <= MAX_TASKS:
-        raise BadSpec(f"plays: must lie between 1 and {MAX_TASKS}")
-    for name in ("vcpus", "cards", "memory_gb", "pull_gb", "expected_s", "snapshot_every_s", "snapshot_s"):
-        value = getattr(spec, name)
-        if not math.isfinite(value) or value < 0:
-            raise BadSpec(f"{name}: must be finite and not negative")
-    if spec.due_s is not None and not (math.isfinite(spec.due_s) and spec.due_s >= 0):
-        raise BadSpec("due_s: must be finite and not negative")
+
+
+def _checked(fields: dict[str, msgspec.Raw], name: str) -> Any:
+    try:
+        value = _value(fields, name)
+        if value is None:
+            if name in NULLABLE:
+                return None
+            raise BadSpec("must not be null" if name in fields else "missing")
+        return _CHECKS[name](value)
+    except BadSpec as exc:
+        raise BadSpec(f"{name}: {exc}") from None
+
+
+def _checked_spec(job: str, fields: dict[str, msgspec.Raw], repeated: set[str]) -> JobSpec:
+    for name in _CHECKS:
+        if name in repeated:
+            raise BadSpec(f"{name}: given more than once")
+    spec = JobSpec(job, **{name: _checked(fields, name) for name in _CHECKS})
     if spec.vcpus == 0 and spec.cards == 0 and spec.memory_gb == 0:
         raise BadSpec("vcpus, cards, memory_gb: a task must take something")
-    if spec.rigs is not None and (not spec.rigs or len(spec.rigs) > 256):
-        raise BadSpec("rigs: must name at least one type")
-    if spec.pull_gb > 0 and not spec.playbook:
-        raise BadSpec("playbook: missing")
+    # Malformed, not 422: the fields contradict each other, whatever teams and types there are. Half of the
+    # tasks at a time might even run in one zone, so it is not for want of a place that this is refused.
+    if spec.spread and spec.plays > 1 and (spec.together or spec.yard is not None):
+        raise BadSpec("spread: contradicts together or yard, which ask for one zone")
     return spec
+
+
+def parse_job(body: bytes) -> JobSpec:
+    """Decode and check a submission; raises BadSpec when it is malformed.
+
+    The id is read first, and alone: with it, even a malformed body may repeat a job that was accepted.
+    """
+    try:
+        text = str(body, "utf-8")
+        fields = _fields_decoder.decode(text)
+        repeated = _repeated(text, fields)
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+        raise BadSpec(str(exc)) from None
+    job = _value(fields, "name_id")
+    if type(job) is not str or not valid_job_id(job) or "name_id" in repeated:
+        raise BadSpec("name_id: not a job id, or not one alone")
+    try:
+        return _checked_spec(job, fields, repeated)
+    except BadSpec as exc:
+        exc.job = job
+        raise
