--- a/tests/world.py
+++ b/tests/world.py
@@ -419,6 +419,7 @@
             "pull_gb": 0.6, "loaners": rng.random() < 0.7, "expected_s": rng.uniform(1.0, 8.0),
             "spread": rng.random() < 0.15, "rigs": ["large"] if rng.random() < 0.15 else None,
             "yard": rng.choice(["za", "zb"]) if rng.random() < 0.15 else None, "together": False,
+            "cards": 0.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0,
         } | over
         if not spec["spread"] and spec["yard"] is None and rng.random() < 0.15:
             spec["together"] = True
