--- a/tealhook/wire/users.py
+++ b/tealhook/wire/users.py
@@ -179,8 +179,7 @@
     spec = JobSpec(job, **{name: _checked(fields, name) for name in _CHECKS})
     if spec.vcpus == 0 and spec.cards == 0 and spec.memory_gb == 0:
         raise BadSpec("vcpus, cards, memory_gb: a task must take something")
-    # Malformed, not 422: the fields contradict each other, whatever teams and types there are. Half of the
-    # tasks at a time might even run in one zone, so it is not for want of a place that this is refused.
+    # Malformed, not 422: the fields contradict each other, whatever teams and types there are.
     if spec.spread and spec.plays > 1 and (spec.together or spec.yard is not None):
         raise BadSpec("spread: contradicts together or yard, which ask for one zone")
     return spec
