--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -224,6 +224,7 @@
         "req-1", "train", "team-0", "array", "standard", 2, 8.0, 1.0, 0.0, "img-0", 0.5, ["large"], "zb",
         False, False, True, 4.0, 30.0, 4.0, None,
     )
+    assert str(parse_job(text(sent | {"cards": "-0.0"})).cards) == "0.0"
 
 
 def test_records_that_leave_out_defaults_stay_readable():
