--- a/tests/users.py
+++ b/tests/users.py
@@ -18,7 +18,10 @@
     {"vcpus": -1.0}, {"vcpus": "2"}, {"memory_gb": None}, {"rigs": "small"}, {"rigs": [1]}, {"spread": "no"},
     {"name_id": "x-000001"}, {"expected_s": -1.0},
 )
-LACKING = ("name_id", "lineup", "crew", "shape", "urgency", "plays", "vcpus", "memory_gb")
+LACKING = (
+    "name_id", "lineup", "crew", "shape", "urgency", "plays", "vcpus", "cards", "memory_gb", "playbook", "pull_gb",
+    "together", "spread", "loaners", "expected_s", "snapshot_every_s", "snapshot_s",
+)
 NOT_OBJECTS = (b"", b"[]", b"null", b'"req-000001"', b'{"name_id":', b"\xff\xfe")
 
 
