--- a/tealhook/parts/keeper.py
+++ b/tealhook/parts/keeper.py
@@ -84,10 +84,18 @@
                 self._strangers,
             )
             part.flush = self._flush
-            part.doubtful = lambda: self._own.doubtful
+            part.doubtful = self._may_not_launch
         for name in [name for name, waiting in self._open.items() if waiting.report.yard == zone]:
             self._flush(name)
 
+    def _may_not_launch(self) -> bool:
+        """Whether we have stood still, or know too little of the latest cancellations to start anything.
+
+        A node that the state service refuses alone goes on being told to launch by homes that it serves; what is
+        cancelled meanwhile it would start all the same. By then its grant has run out in any case.
+        """
+        return self._own.doubtful or self._book.watcher.age() > self._own.ttl_s
+
     def forget(self, machine: str) -> None:
         """The machine is gone for good."""
         self._gone[machine] = None
--- a/tealhook/parts/part.py
+++ b/tealhook/parts/part.py
@@ -56,7 +56,7 @@
         self._job_errors: dict[str, set[str]] = {}
         # Answer a machine's report now, if its answer is still open (see `patience`); whether it was.
         self.flush: Callable[[str], bool] = lambda name: False
-        self.doubtful: Callable[[], bool] = lambda: False  # whether we have stood still, and may own nothing any more
+        self.doubtful: Callable[[], bool] = lambda: False  # whether we may own nothing any more, or know too little
 
     def call_in(self, addrs: dict[str, str]) -> None:
         """Tell workers that have not come under our token of it, directly, so that they do.
