What an overdue job needs of its team's limit is kept for it

Cause by reading: a team at its limit gets it back in the steps of the tasks that end, and small tasks took each of them again. The test's large job did not begin at all; now it does.

--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -20,6 +20,7 @@
 
 MAX_GROUPS = 48  # jobs looked at in one round
 SIZE_STEPS = 1.5  # steps in which the work left of jobs is compared, for each doubling of it
+HELD_SHARE = 0.25  # of a team's limit at most is kept for overdue jobs, or one task's need
 PATIENT_FAILURES = 3  # failures in a row before a job is tried one task at a time
 
 
@@ -37,6 +38,7 @@
         self.guarantee = 0.0
         self.limit = 0.0
         self.gpus_limit = 0.0
+        self.spoken_for = [0.0, 0.0]  # CPUs and cards of the limit that only overdue jobs may take
 
     def taken(self, which: int = 0) -> float:
         """CPUs (0) or cards (1) of every task that is not proved off its machine."""
@@ -153,6 +155,7 @@
                 home.limit - home.taken(0) if home.limit > 0 else 1e9,
                 home.gpus_limit - home.taken(1) if home.gpus_limit > 0 else 1e9,
             ]
+            self._speak_for(home, now, hold_age)
             secured_left = home.guarantee
             oldest = True
             for job in sorted(home.jobs.values(), key=lambda j: j.stamp):
@@ -166,9 +169,10 @@
                 count = job.waiting()
                 if count <= 0 or job.unsure or job.not_before > now or not job.loaded:
                     continue
-                for have, need in zip(room, job.need[:2], strict=True):
+                overdue = self._overdue(job, now, hold_age)
+                for have, spoken_for, need in zip(room, home.spoken_for, job.need[:2], strict=True):
                     if need > 0:
-                        count = min(count, int((have + 1e-6) / need))
+                        count = min(count, int((have - (0.0 if overdue else spoken_for) + 1e-6) / need))
                 if job.gang:
                     # One task of the paper's: all of it at once, after every earlier try is off.
                     count = 0 if job.attempts or job.staged or count < job.waiting() else count
@@ -177,13 +181,33 @@
                 if count <= 0:
                     continue
                 aged = now - job.waiting_since > hold_age
-                overdue = now - job.since > hold_age and not (job.done_count or job.attempts or job.staged)
                 if oldest and now - job.since > begin:
                     overdue, oldest = True, False
                 found.append(Mappable(home, job, count, secured, aged, overdue, self._late(job, now)))
         found.sort(key=lambda m: (m.rank, m.job.stamp))
         return found[:MAX_GROUPS]
 
+    @staticmethod
+    def _overdue(job: Job, now: float, hold_age: float) -> bool:
+        """Whether a job has waited for long and has not begun at all."""
+        return now - job.since > hold_age and not (job.done_count or job.attempts or job.staged)
+
+    def _speak_for(self, home: TeamHome, now: float, hold_age: float) -> None:
+        """Keep what overdue jobs need of the team's limit, one task each, until there is enough of it.
+
+        A team at its limit gets it back in the steps of the tasks that end: small tasks took each of them again, and a
+        job of larger ones never began though machines had room.
+        """
+        spoken_for = [0.0, 0.0]
+        most = (home.limit * HELD_SHARE, home.gpus_limit * HELD_SHARE)
+        for job in sorted(home.jobs.values(), key=lambda j: j.stamp):
+            if job.spec is None or job.gang or not self._overdue(job, now, hold_age) or job.not_before > now:
+                continue
+            for which in (0, 1):
+                if not spoken_for[which] or spoken_for[which] + job.need[which] <= most[which]:
+                    spoken_for[which] += job.need[which]
+        home.spoken_for = spoken_for
+
     def _late(self, job: Job, now: float) -> bool:
         """Whether a job can't be done in time any more, so that others which can go before it.
 
@@ -330,8 +354,9 @@
         most = len(slots)
         for limit, which in ((home.limit, 0), (home.gpus_limit, 1)):
             if limit > 0 and job.need[which] > 0:
-                most = min(most, int((limit - home.taken(which) + 1e-6) / job.need[which]))
-        most = min(most, self._limits(job, [zone]).get(zone, most))
+                spoken_for = 0.0 if item.overdue else home.spoken_for[which]
+                most = min(most, int((limit - home.taken(which) - spoken_for + 1e-6) / job.need[which]))
+        most = max(0, min(most, self._limits(job, [zone]).get(zone, most)))
         if job.gang and most < job.waiting():
             return 0
         indexes = job.take_waiting(max(0, min(most, len(slots))))
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -94,3 +94,28 @@
     assert _secured([100, 75, 50]) == [True, True, True]  # 1,800 to the CPU
     assert _secured([100, 75, 51]) == [True, True, False]
     assert _secured([100, 126, 1]) == [True, False, False]
+
+
+def _team_at_its_limit() -> SimJob:
+    """Small tasks keep a team at its limit; a job of larger ones comes among them, and machines have room for it."""
+    world = World(5, limit=16.0, ready=False, guarantee=16.0)
+
+    def small() -> None:
+        world.submit(crew="team-0", urgency="standard", plays=8, vcpus=1.0, expected_s=6.0, **ALIKE)
+        world.at(2.0, small)
+
+    small()
+    world.run(30.0)
+    large = world.jobs[world.submit(crew="team-0", urgency="standard", plays=2, vcpus=8.0, expected_s=10.0, **ALIKE)]
+    world.run(200.0)
+    return large
+
+
+def test_a_job_of_large_tasks_begins_though_small_ones_keep_its_team_at_the_limit():
+    large = _team_at_its_limit()
+    assert large.started_at is not None and large.started_at - large.submitted_at < 120.0
+
+
+def test_without_keeping_what_it_needs_of_the_limit_it_would_not(monkeypatch):
+    monkeypatch.setattr(rounds.Rounds, "_speak_for", lambda self, home, now, hold_age: None)
+    assert _team_at_its_limit().started_at is None
