Tests: stand-ins keep to the protocol more closely, and the network knows more troubles

A watch that waited through a refusal tells all that changed since; 410 once changes are not retained; a transaction that only compares changes no revision; a higher token counts as a change once in half a lease. New: late writes, lost answers, late and kept and held-back reports, mute machines, held-up direct commands, slow answers, quick boots.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,6 +21,8 @@
         self.down = False
         self.refuses: set[str] = set()  # nodes that get 503 while others are served
         self.waiting: list[tuple[str, str, int, Callable]] = []
+        self.retained = 10_000  # changes that a watch can still be told of
+        self.forgotten = 0  # the newest revision of which a change is not retained any more
 
     def handle(self, node: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         url = urlsplit(target)
@@ -71,14 +73,17 @@
                 raise self.world.broken(f"two writers: {node} writes {key}, {owner and owner[0]['n']} owns it")
 
     def _txn(self, body: dict, node: str) -> tuple[int, Any]:
-        for op in body["apply"]:
+        for op in body.get("apply", []):
             if op.get("hold") is not None and op["hold"] not in self.grants:
                 return 400, {"error": "no such lease"}
         limits = self.world.settings.params.state
+        body = {"when": [], "apply": []} | body
         assert len(body["apply"]) <= limits.txn_ops and len(body["when"]) <= 4 * limits.txn_ops
         failed = [c["path"] for c in body["when"] if self.rows.get(c["path"], (0, 0, 0))[1] != c["stamp"]]
         if failed:
             return 409, {"failed": failed, "epoch": self.epoch}
+        if not body["apply"]:
+            return 200, {"epoch": self.epoch}  # it only compared
         self.epoch += 1
         for op in body["apply"]:
             self._one_writer(op.get("write") or op["drop"], node)
@@ -92,11 +97,18 @@
 
     def _put(self, key: str, value: Any, hold: int | None) -> None:
         self.rows[key] = (value, self.epoch, hold)
-        self.log.append((self.epoch, key, value, True))
+        self._note(key, value, True)
+        self.world.network.on_change(key, value, self.epoch)
 
     def _drop(self, key: str) -> None:
         if self.rows.pop(key, None) is not None:
-            self.log.append((self.epoch, key, None, False))
+            self._note(key, None, False)
+
+    def _note(self, key: str, value: Any, put: bool) -> None:
+        self.log.append((self.epoch, key, value, put))
+        if len(self.log) > 1.2 * self.retained:
+            self.forgotten = self.log[-self.retained - 1][0]
+            del self.log[:-self.retained]
 
     def _end(self, hold: int) -> None:
         self.grants.pop(hold, None)
@@ -135,8 +147,7 @@
                 if self.down or node in self.refuses:
                     self.world.at(0.2, expire)
                     return
-                self.waiting.remove(entry)
-                answer(200, json.dumps({"epoch": self.epoch, "events": []}).encode())
+                self._tell(entry)
 
         self.world.at(int(query.get("wait_ms", 0)) / 1000, expire)
         self._wake()
@@ -145,11 +156,18 @@
         if self.down:
             return
         for entry in list(self.waiting):
-            node, prefix, after, answer = entry
-            events = self._events(prefix, after) if node not in self.refuses else []
-            if events:
-                self.waiting.remove(entry)
-                answer(200, json.dumps({"epoch": self.epoch, "events": events}).encode())
+            node, prefix, after, _answer = entry
+            if node not in self.refuses and (after < self.forgotten or self._events(prefix, after)):
+                self._tell(entry)
+
+    def _tell(self, entry: tuple[str, str, int, Callable]) -> None:
+        """Answer a watch, also one that has waited through a refusal, with all that has changed since."""
+        self.waiting.remove(entry)
+        _node, prefix, after, answer = entry
+        if after < self.forgotten:
+            answer(410, b"{}")
+            return
+        answer(200, json.dumps({"epoch": self.epoch, "events": self._events(prefix, after)}).encode())
 
 
 class Cloud:
@@ -164,6 +182,8 @@
         self.history: list[tuple[float, list[dict]]] = [(0.0, [])]
         self.down = False
         self.refused = 0  # calls beyond the budget
+        self.quick_boots = False  # machines are up within two seconds
+        self.answer_s = 0.0  # how late answers to rentals may be
         self._count = 0
         self._tokens, self._tokens_at = 0.0, -1e9
 
@@ -212,13 +232,29 @@
             worker = Worker(self.world, name, rig, value["yard"], value["loaners"])
             self.machines[name] = worker
             if self.world.rng.random() < 0.95:
-                self.world.at(rig["ready_s"] * self.world.rng.uniform(0.05, 1.5), worker.boot)
+                boot_s = rig["ready_s"] * self.world.rng.uniform(0.05, 1.5)
+                if self.quick_boots:
+                    boot_s = self.world.rng.uniform(0.0, 2.0)
+                self.world.at(boot_s, worker.boot)
         if names:
             self.asks[value["ask"]] = names
-            answer(200, json.dumps({"boxes": names}).encode())
+            self._answer_rental(names, answer)
         else:
             answer(503, b'{"error":"no capacity"}')
 
+    def _answer_rental(self, names: list[str], answer: Callable) -> None:
+        def say() -> None:
+            if self.answer_s or self.quick_boots:
+                self.world.network.happened["rental answered"] += 1
+                if any(name in self.machines and self.machines[name].up for name in names):
+                    self.world.network.happened["up before the rental's answer"] += 1
+            answer(200, json.dumps({"boxes": names}).encode())
+
+        if self.answer_s:
+            self.world.at(self.world.rng.uniform(0.0, self.answer_s), say)
+        else:
+            say()
+
     def remove(self, name: str) -> None:
         worker = self.machines.pop(name, None)
         if worker is not None:
@@ -254,6 +290,7 @@
         self.last_sent = 0.0
         self.answered_sent = 0.0
         self.lease_from = 0.0
+        self.token_news_at = -1e9  # when a higher token last counted as a change
 
     def boot(self) -> None:
         if not self.dead:
@@ -293,6 +330,7 @@
             self.shift += 1
             self.flying = False
             self.lease_from = world.now
+            world.network.happened["lease ran out"] += 1
             self._report()
             return
         changed = False
@@ -371,9 +409,16 @@
         before = {key: play["status"] for key, play in self.plays.items()}
         for order in response["orders"]:
             self._execute(order)
-        if higher or before != {key: play["status"] for key, play in self.plays.items()}:
+        if higher and self._token_counts() or before != {key: play["status"] for key, play in self.plays.items()}:
             self._report()
 
+    def _token_counts(self) -> bool:
+        """Whether a higher token counts as a change: at most once in half a lease."""
+        if self.world.now - self.token_news_at < self.world.settings.params.workers.lease_s / 2:
+            return False
+        self.token_news_at = self.world.now
+        return True
+
     def direct(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         """GET /show and POST /orders; a machine without power says nothing, a hanging one answers late."""
         if not self.up:
@@ -382,6 +427,9 @@
             self.world.at(0.5, lambda: self.direct(method, target, body, answer))
             return
         value = json.loads(body) if body else {}
+        if method == "POST" and not {"baton", "shift"} <= value.keys():
+            answer(400, b"{}")
+            return
         if method == "POST" and (value["baton"] < self.baton or value["shift"] != self.shift):
             answer(409, json.dumps(self._body()).encode())
             return
@@ -390,7 +438,7 @@
             self.baton = value["baton"]
             for order in value["orders"]:
                 self._execute(order)
-            if higher:
+            if higher and self._token_counts():
                 self.world.at(0.0, self._report)
         answer(200, json.dumps(self._body()).encode())
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -8,6 +8,7 @@
 import heapq
 import json
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -143,19 +144,47 @@
         self.world.network.mesh(self.name, peer, frame)
 
 
+class _Report:
+    """A report, or a copy of one, that is yet to arrive."""
+
+    __slots__ = ("machine", "zone", "node", "body", "token", "shift", "tick")
+
+    def __init__(self, node: str, body: bytes) -> None:
+        value = json.loads(body)
+        self.machine, self.zone, self.token = value["box"], value["yard"], value["baton"]
+        self.shift, self.tick = value["shift"], value["tick"]
+        self.node, self.body = node, body
+
+
 class Network:
-    """Delays, losses, cuts that hold packets and deliver them late."""
+    """Delays, losses, cuts that hold packets and deliver them late. What really happened is counted."""
 
     def __init__(self, world: World) -> None:
         self.world = world
         self.cuts: set[frozenset[str]] = set()
         self.deaf: set[str] = set()  # machines whose reports arrive, but nothing reaches them
+        self.mute: set[str] = set()  # machines that direct commands reach, but that reach no controller
         self.swallowed = 0  # launches that were told to deaf machines
         self.copies = 0.0  # chance that a copy of a report comes late
         self.held: dict[frozenset[str], list[Callable]] = {}
         self.hold = True
         self.slowest = 0.01  # seconds that a packet may take
         self.lossy = 0.0  # chance that a request to the state service goes wrong
+        self.slow_state = 0.0  # seconds by which its answers may be late
+        self.late_writes = 0.0  # chance that a transaction gets no answer and is carried out 2 to 12 s later
+        self.lost_answers = 0.0  # chance that a transaction is carried out at once and its answer lost
+        self.late_reports = 0.0  # chance that a copy of a report comes 2 s to three leases later, anywhere
+        self.for_next = 0.0  # chance that a copy of a report is kept for the next owner of its part
+        self.hold_back = 0.0  # chance that a report itself is kept until the next owner has launched something
+        self.late_direct = 0.0  # chance that a direct command or its answer is held up
+        self.direct_s = (2.0, 12.0)  # for how long
+        self.happened: Counter[str] = Counter()
+        self.begins: list[tuple[float, str, str]] = []  # when, which key, which node: an ownership began
+        self._kept: list[_Report] = []  # copies for the next owner
+        self._back: list[_Report] = []  # reports held back
+        self._written: dict[str, int] = {}  # node -> how many of its transactions were sent
+        self._newest: dict[str, int] = {}  # node -> the newest of its transactions that was carried out
+        self._unanswered: dict[tuple[str, int], str] = {}  # changes of which the writer was told nothing
 
     def cut(self, a: str, b: str) -> None:
         self.cuts.add(frozenset((a, b)))
@@ -168,6 +197,23 @@
                 if one != other:
                     self.cut(one, other)
 
+    def cut_node(self, node: str) -> None:
+        """A controller loses the state service and its peers, not its workers or users."""
+        self.cut(node, "state")
+        for other in self.world.names:
+            if other != node:
+                self.cut(node, other)
+
+    def cut_zone(self, zone: str, node: str) -> None:
+        """A zone with its machines and one controller in it is cut off from all else."""
+        self.cut_node(node)
+        self.cut(node, "cloud")
+        self.cut(node, "users")
+        for machine in self.world.cloud.machines.values():
+            for other in self.world.names:
+                if (machine.yard == zone) != (other == node):
+                    self.cut(machine.name, other)
+
     def heal(self) -> None:
         self.cuts.clear()
         held, self.held = self.held, {}
@@ -175,36 +221,117 @@
             for call in calls:
                 self.world.at(self.world.rng.uniform(0.0, 0.3), call)
 
+    def calm(self) -> None:
+        """All troubles of the network end."""
+        self.heal()
+        self.deaf.clear()
+        self.mute.clear()
+        self.copies = self.lossy = self.slow_state = self.late_writes = self.lost_answers = 0.0
+        self.late_reports = self.for_next = self.hold_back = self.late_direct = 0.0
+
+    def _chance(self, share: float) -> bool:
+        """Draws only while the trouble lasts, so that runs without it stay the same."""
+        return share > 0.0 and self.world.rng.random() < share
+
     def _pass(self, a: str, b: str, call: Callable) -> None:
         if b in self.deaf:
             return
         pair = frozenset((a, b))
         if pair in self.cuts:
+            self.happened["cut"] += 1
             if self.hold:
                 self.held.setdefault(pair, []).append(call)
             return
         self.world.at(self.world.rng.uniform(0.0005, self.slowest), call)
 
+    # -- state service
+
+    def on_change(self, key: str, value: Any, epoch: int) -> None:
+        """The state service wrote a key. Whatever waits for a part's next owner arrives just then."""
+        if not key.startswith("own/") or key.startswith("own/node/"):
+            return
+        self.begins.append((self.world.now, key, value["n"]))
+        if key.startswith("own/part/"):
+            zone = key[len("own/part/"):]
+            due = [report for report in self._kept if report.zone == zone]
+            self._kept = [report for report in self._kept if report.zone != zone]
+            for report in due:
+                for node in self.world.names:
+                    self.world.at(self.world.rng.uniform(0.0, 0.3), lambda report=report, node=node: self._arrive_late(
+                        report, node, "copy for the next owner"))
+
     def to_state(self, node: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         world = self.world
+        number = 0
+        if target == "/txn":
+            number = self._written[node] = self._written.get(node, 0) + 1
+
+        def handle(reply: Callable) -> None:
+            def answered(status: int, data: bytes) -> None:
+                if number and status == 200:
+                    self._newest[node] = max(number, self._newest.get(node, 0))
+                if method == "GET" and status == 200 and self._unanswered:
+                    self._read(node, data)
+                reply(status, data)
+
+            world.state.handle(node, method, target, body, answered)
+
+        def unheard(status: int, data: bytes) -> None:
+            pass
+
+        def late() -> None:
+            newer = self._newest.get(node, 0) > number
+
+            def carried_out(status: int, data: bytes) -> None:
+                self.happened["late write"] += 1
+                self.happened[f"late write: {status}"] += 1
+                self.happened["late write after newer ones"] += newer
+
+            handle(carried_out)
+
+        def lost(status: int, data: bytes) -> None:
+            self.happened["answer to a write lost"] += 1
+            if status == 200:
+                for op in json.loads(body)["apply"]:
+                    self._unanswered[(op.get("write") or op["drop"], json.loads(data)["epoch"])] = node
+
+        def back(status: int, data: bytes) -> None:
+            if self.slow_state:
+                wait = world.rng.uniform(0.0, self.slow_state)
+                self.happened["slow answer of the state service"] += wait > 0.5
+                world.at(wait, lambda: self._pass(node, "state", lambda: answer(status, data)))
+            else:
+                self._pass(node, "state", lambda: answer(status, data))
 
         def arrive() -> None:
+            if number and self._chance(self.late_writes):
+                world.at(world.rng.uniform(2.0, 12.0), late)
+                return
+            if number and self._chance(self.lost_answers):
+                handle(lost)
+                return
             chance = world.rng.random()
             if chance < self.lossy / 3:
                 return  # lost on its way
             if chance < self.lossy * 2 / 3 and method != "GET":
                 # Applied late, long after the sender has given up.
-                world.at(world.rng.uniform(1.0, 40.0), lambda: world.state.handle(
-                    node, method, target, body, lambda status, data: None))
+                world.at(world.rng.uniform(1.0, 40.0), lambda: handle(unheard))
                 return
             if chance < self.lossy:
-                world.state.handle(node, method, target, body, lambda status, data: None)  # answer lost
+                handle(unheard)  # answer lost
                 return
-            world.state.handle(node, method, target, body, lambda status, data: self._pass(
-                node, "state", lambda: answer(status, data)))
+            handle(back)
 
         self._pass(node, "state", arrive)
 
+    def _read(self, node: str, data: bytes) -> None:
+        """Count reads of what another node wrote without being told so."""
+        value = json.loads(data)
+        rows = value.get("rows", value.get("events", [value]))
+        for row in rows:
+            writer = self._unanswered.get((row.get("path") or row.get("write") or row.get("drop"), row.get("stamp")))
+            self.happened["unanswered write read by another"] += writer not in (None, node)
+
     def to_cloud(self, node: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         world = self.world
 
@@ -215,8 +342,15 @@
 
         world.at(world.rng.uniform(0.02, 0.2), lambda: self._pass(node, "cloud", arrive))
 
+    # -- controllers and workers
+
     def to_node(self, who: str, node: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         world = self.world
+        if who in self.mute:
+            self.happened["mute"] += 1
+            if world.rng.random() < 0.5:  # refused, else it waits in vain
+                world.at(0.01, lambda: answer(None, b""))
+            return
 
         def arrive() -> None:
             controller = world.nodes.get(node)
@@ -228,34 +362,99 @@
             def reply(status: int, data: bytes = b"{}", retry_after: int | None = None) -> None:
                 if who in self.deaf:
                     self.swallowed += data.count(b'"launch"')
+                if target == "/v1/report" and self._back and b'"launch"' in data:
+                    self._acted(node, who, json.loads(data)["baton"])
                 if world.lives.get(node) == life:
                     self._pass(node, who, lambda: answer(status, data))
 
             world.awake(node, lambda: controller.on_request(make_request(method, target, body), reply))
 
+        if target == "/v1/report" and self._chance(self.hold_back):
+            self._back.append(_Report(node, body))
+            return
         self._pass(who, node, arrive)
-        if target == "/v1/report" and world.rng.random() < self.copies:
-            def copy() -> None:
-                controller = world.nodes.get(node)
-                if controller is not None:
-                    controller.on_request(
-                        make_request(method, target, body), lambda status, data=b"{}", retry_after=None: None
-                    )
-
-            world.at(world.rng.uniform(0.5, 4 * world.settings.params.workers.lease_s), copy)
+        if target == "/v1/report":
+            self._copy(node, body)
+
+    def _copy(self, node: str, body: bytes) -> None:
+        """Copies of a report that arrive again, later."""
+        world, lease_s = self.world, self.world.settings.params.workers.lease_s
+        if world.rng.random() < self.copies:
+            report = _Report(node, body)
+            world.at(world.rng.uniform(0.5, 4 * lease_s), lambda: self._arrive_late(report, node, "copy"))
+        if self._chance(self.late_reports):
+            report = _Report(node, body)
+            for other in {node, world.rng.choice(world.names)}:
+                world.at(world.rng.uniform(2.0, 3 * lease_s), lambda other=other: self._arrive_late(
+                    report, other, "late report"))
+        if self._chance(self.for_next):
+            self._kept.append(_Report(node, body))
+
+    def _acted(self, node: str, who: str, token: int) -> None:
+        """An owner has launched something: what was held back since before it arrives there now."""
+        zone = next((m.yard for m in self.world.cloud.machines.values() if m.name == who), None)
+        due = [report for report in self._back if report.zone == zone and report.token < token]
+        self._back = [report for report in self._back if report not in due]
+        for report in due:
+            self.world.at(self.world.rng.uniform(0.0, 2.0), lambda report=report: self._arrive_late(
+                report, node, "report held back"))
+
+    def _arrive_late(self, report: _Report, node: str, kind: str) -> None:
+        """Nobody waits for the answer any more."""
+        world = self.world
+        controller = world.nodes.get(node)
+        if controller is None:
+            return
+        machine = world.cloud.machines.get(report.machine)
+        self.happened[kind] += 1
+        self.happened[f"{kind}: at its owner"] += report.zone in controller.parts.parts
+        if machine is not None:
+            self.happened[f"{kind}: after newer ones"] += machine.tick > report.tick
+            self.happened[f"{kind}: of an earlier session"] += machine.shift > report.shift
+            known = {(play["play"], play["try"]) for play in json.loads(report.body)["plays"]}
+            names = {play for play, _ in known}
+            moved = any(
+                play in names and (play, attempt) not in known
+                for other in world.cloud.machines.values() for play, attempt in other.plays
+            )
+            self.happened[f"{kind}: of an earlier attempt"] += moved
+        world.awake(node, lambda: controller.on_request(
+            make_request("POST", "/v1/report", report.body), lambda status, data=b"{}", retry_after=None: None))
 
     def to_worker(self, node: str, addr: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         world = self.world
+        worker = next((w for w in world.cloud.machines.values() if w.addr == addr), None)
+        if worker is None:
+            return
+        late = self._chance(self.late_direct)
+        wait = world.rng.uniform(*self.direct_s) if late else 0.0
+        on_the_way = late and world.rng.random() < 0.6
+        sent = world.now
+
+        def back(status: int, data: bytes) -> None:
+            if method == "POST" and world.now - sent > 2.0:
+                self.happened["late command"] += 1
+                self.happened[f"late command: {status}"] += 1
+            if worker.name in self.mute:
+                self.happened["mute, but commanded"] += 1
+            if late and not on_the_way:
+                self.happened["late answer to a command"] += 1
+                world.at(wait, lambda: self._pass(worker.name, node, lambda: answer(status, data)))
+            else:
+                self._pass(worker.name, node, lambda: answer(status, data))
 
         def arrive() -> None:
             if worker.name in world.cloud.machines:
-                worker.direct(method, target, body, lambda status, data: self._pass(
-                    worker.name, node, lambda: answer(status, data)))
+                worker.direct(method, target, body, back)
 
-        worker = next((w for w in world.cloud.machines.values() if w.addr == addr), None)
-        if worker is not None:
+        def leave() -> None:
             self._pass(node, worker.name, arrive)
 
+        if on_the_way:
+            world.at(wait, leave)
+        else:
+            leave()
+
     def mesh(self, sender: str, peer: str, frame: bytes) -> None:
         def arrive() -> None:
             controller = self.world.nodes.get(peer)
