Tests: a new owner of a home with an old view of job records

It fails: a live record whose job the owner's book does not show yet is taken for one of a job that has ended. The record is dropped, and the job is left waiting for ever, or begun anew.

--- /dev/null
+++ b/tests/test_meetings_view.py
@@ -0,0 +1,69 @@
+"""A new owner of a home whose view of the jobs is older than its claim."""
+
+import pytest
+
+from tests.world import World
+
+ALIKE = {
+    "plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
+    "urgency": "standard", "vcpus": 1.0, "crew": "team-0",
+}
+HOME = "own/home/team-0"
+
+
+def _view_held_up(world: World, behind: set[str]) -> list[str]:
+    """For nodes that are `behind`, answers to watches of jobs are as slow as their retries after a refusal."""
+    whole, held = world.state.handle, []
+
+    def handle(node, method, target, body, answer):
+        def late(status, data):
+            if node in behind:
+                held.append(node)
+                world.at(0.1, lambda: late(status, data))
+            else:
+                answer(status, data)
+
+        whole(node, method, target, body, late if target.startswith("/watch?starts=job/") else answer)
+
+    world.state.handle = handle
+    return held
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_job_that_a_new_owner_has_not_read_of_yet_is_not_taken_for_ended(seed):
+    """Its live records are there, its record is active; only the new owner's view of records is a second too old."""
+    world = World(seed)
+    for _ in range(3):
+        world.submit(plays=4, expected_s=6.0, **ALIKE)
+    world.run(45.0)
+    assert world.unfinished() == []
+    leader = world.state.rows[HOME][0]["n"]
+    behind = set(world.names) - {leader}
+    held = _view_held_up(world, behind)
+    world.network.hold = False
+    for node in behind:  # what its user asks would make it known there
+        world.network.cut(node, "users")
+    world.run(2.0)  # watches opened before are answered
+    job = world.submit(plays=4, expected_s=8.0, **ALIKE)
+    while not any(key.startswith("live/") and job in key for key in world.state.rows):
+        world.run(0.02)
+        assert world.now < 140.0
+    world.crash(leader, 300.0)  # back, it would be given the home, and read anew
+    while HOME not in world.state.rows or world.state.rows[HOME][0]["n"] == leader:
+        world.run(0.02)
+        assert world.now < 160.0
+    taken, taken_epoch = world.now, world.state.epoch
+    assert any(key.startswith("live/") and job in key for key in world.state.rows)
+    world.run(0.6)
+    assert job not in world.nodes[world.state.rows[HOME][0]["n"]].book.active  # the view is too old indeed
+    assert held and world.now < taken + 1.0
+    behind.clear()
+    world.network.heal()
+    world.run(60.0)
+    ended = next((epoch for epoch, key, _, _ in world.state.log if key == f"job/{job}" and epoch > taken_epoch), 1e9)
+    dropped = [
+        epoch for epoch, key, _, put in world.state.log
+        if key.startswith("live/") and job in key and not put and epoch < ended
+    ]
+    assert dropped == []  # what is done of an active job, and how often it was tried, is on record
+    assert world.jobs[job].final == "done"
