--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from tealhook.jobs.book import Book
+from tealhook.jobs.book import Book, job_key, parse_record
 from tealhook.jobs.commits import Commits
 from tealhook.jobs.job import LIVE, Attempt, Job, live_key, piece_of
 from tealhook.jobs.rounds import PATIENT_FAILURES, Rounds, TeamHome
@@ -19,7 +19,7 @@
 from tealhook.mesh import Mesh
 from tealhook.placement import Feedback
 from tealhook.settings import Policy, Settings
-from tealhook.store import FLEET, Ownership, StateClient, part_key
+from tealhook.store import FLEET, Ownership, Priority, StateClient, part_key
 from tealhook.wire import mesh as wire
 from tealhook.wire import state as state_wire
 from tealhook.wire.users import URGENCY_RANK
@@ -87,6 +87,11 @@
             if rows is None:
                 self._fx.later(0.2 + 0.2 * self._fx.rng.random(), lambda: self._load(home))
                 return
+            self._read_unknown(home, {piece_of(row.path, home.team)[0] for row in rows}, lambda: take(rows))
+
+        def take(rows: list[state_wire.Row]) -> None:
+            if self.homes.get(home.team) is not home:
+                return
             now = self._fx.now()
             for row in rows:
                 job_id, piece = piece_of(row.path, home.team)
@@ -115,6 +120,38 @@
 
         self._store.list(live_key(home.team, ""), done)
 
+    def _read_unknown(self, home: TeamHome, jobs: set[str], then: Callable[[], None]) -> None:
+        """Read the records of jobs that our view lacks: it may be older than our claim.
+
+        A job that is not known was once taken for ended: its tasks were stopped, and its record was dropped with what
+        was done of it and the attempts given out.
+        """
+        unknown = sorted(job for job in jobs if self._book.status(job) is None)
+        if not unknown:
+            then()
+            return
+        waited = set(unknown)
+
+        def read(job: str, kind: str, row: state_wire.Row | None) -> None:
+            if self.homes.get(home.team) is not home:
+                return
+            record = parse_record(row.v) if row is not None else None
+            if record is not None:
+                self._book.learn(job, record, row.stamp)
+            elif kind == "unknown":
+                self._fx.later(0.2 + 0.2 * self._fx.rng.random(), lambda: ask(job))
+                return
+            waited.discard(job)
+            if not waited:
+                then()
+
+        def ask(job: str) -> None:
+            if self.homes.get(home.team) is home:
+                self._store.get(job_key(job), lambda kind, row: read(job, kind, row), Priority.ASSIGN)
+
+        for job in unknown:
+            ask(job)
+
     def _job(self, home: TeamHome, job_id: str, now: float) -> Job:
         """A job as the book knows it. Its age outlasts the processes that look after it."""
         known = self._book.active.get(job_id)
@@ -138,6 +175,9 @@
                 job = home.jobs[job_id] = self._job(home, job_id, self._fx.now())
                 job.loaded = True
                 self.rounds.wake()
+            elif job.spec is None:
+                log.error("%s is active, but was taken for ended: its home is read anew", job_id)
+                self.owned(team, home.token)
             return
         if job is not None and job.spec is not None:
             job.spec = None  # terminal: nothing of it starts any more
