Jobs that wait for others: held until these are done, cancelled with them, ranked by what needs them

waits_on is part of the submission in the job's record, long lists in records of their own. Held and released from state in every node's book; cancelled by the owner of the home, again and again from state; answered only from a view that is new. Nothing of it is accepted before every node has said durably that it runs this version. Urgency and deadlines go back along pipelines.

--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -15,7 +15,7 @@
 from tealhook.mesh import Mesh
 from tealhook.parts import PartKeeper
 from tealhook.settings import Policy, Settings
-from tealhook.store import FLEET, Ownership, StateClient, home_key, part_key
+from tealhook.store import FLEET, Ownership, StateClient, Versions, home_key, part_key
 from tealhook.store.ownership import HOME, PART
 from tealhook.wire import mesh as wire
 from tealhook.wire.cloud import MachineType
@@ -62,12 +62,16 @@
             effects, settings, policy, self.ownership, self.store, self.mesh, self._types, self._variables,
             self._on_gone,
         )
-        self.admission = Admission(effects, settings, self.store, self.book, self._types, self._progress)
+        self.versions = Versions(effects, settings, self.store)
+        self.admission = Admission(
+            effects, settings, self.store, self.book, self._types, self._progress, self.versions
+        )
         self._strange: dict[str, float] = {}
 
     def start(self) -> None:
         self.book.start()
         self.ownership.start()
+        self.versions.start()
         every(self._fx, self._workers.report_s / 2, self._tell_all)
 
     # -- HTTP
--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -13,9 +13,10 @@
 import msgspec
 
 from tealhook.jobs.book import ACTIVE, CANCELLED, Book, JobRecord, job_key, parse_record
+from tealhook.jobs.commits import TXN_BYTES
 from tealhook.loop.effects import Effects
 from tealhook.settings import Settings
-from tealhook.store import Outcome, Priority, StateClient
+from tealhook.store import Outcome, Priority, StateClient, Versions
 from tealhook.wire import state as state_wire
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.common import dumps, error_body
@@ -25,6 +26,9 @@
 
 Reply = Callable[..., Any]
 LONGEST_WAIT_S = 1.0  # for tokens; a user waits 5 s for an answer
+OLD_VIEW_SHARE = 0.25  # of the time within which jobs go with one that they need: an older view tells nothing
+MOST_READS = 32  # names looked up at once for a submission
+RECORD_SHARE = 0.97  # of what a value may hold
 READ_TIMEOUT_S = 1.5  # a user waits 2 s for a poll's answer
 
 
@@ -33,13 +37,15 @@
 
     def __init__(
         self, effects: Effects, settings: Settings, store: StateClient, book: Book,
-        types: dict[str, MachineType], progress: dict[str, tuple[int, int]],
+        types: dict[str, MachineType], progress: dict[str, tuple[int, int]], versions: Versions,
     ) -> None:
         self._fx = effects
         self._store = store
         self._book = book
         self._types = types
         self._progress = progress
+        self._versions = versions
+        self._old_view_s = settings.params.workers.cancel_s * OLD_VIEW_SHARE
         self._teams = {team.name: team for team in settings.params.teams}
 
     # -- answers
@@ -50,6 +56,24 @@
         done, running = self._progress.get(job, (0, 0))
         return dumps(JobStatus(job, "running" if running else "pending", done, running))
 
+    def _reply_status(self, code: int, job: str, status: str, reply: Reply) -> None:
+        """Answer with a status that was read, or learned since.
+
+        A job that waits for others may have been cancelled with one of them, which its own record does not say at
+        once. Only our view of all records can tell; what it shows is made durable before it is told, since another
+        node would else answer older, and a view that may lack a cancellation of long ago tells nothing.
+        """
+        known = self._book.active.get(job)
+        if status != ACTIVE or known is None or not known.held:
+            reply(code, self._status_body(job, status))
+        elif self._book.doomed(job):
+            self.cancel(job, lambda status, body, after=None: reply(
+                code if status == 200 else status, body, after), asked=False)
+        elif known.missing or self._book.unknown(job) or self._book.watcher.age() > self._old_view_s:
+            self._later(reply, "not known at present")
+        else:
+            reply(code, self._status_body(job, status))
+
     def _later(self, reply: Reply, why: str, after: float = 1.0, status: int = 503) -> None:
         reply(status, error_body(why), max(1, math.ceil(after)))
 
@@ -88,12 +112,62 @@
         if spec is not None:
             why = self._never(spec)
             refusal = (422, why) if why is not None else None
-        if spec is None or refusal is not None or not self._types or job in self._book.active:
+        undecided = not self._types or spec is not None and spec.waits_on and not self._versions.all_new
+        if spec is None or refusal is not None or undecided or job in self._book.active:
             # Whether it was accepted earlier comes first: what is known of teams and types may change.
             # An active job is read too: by now it may have ended.
             self._answer_known(job, reply, refusal)
             return
-        self._accept(spec, reply)
+        self._accept_after_names(spec, reply)
+
+    def _accept_after_names(self, spec: JobSpec, reply: Reply) -> None:
+        """Accept a job once each job that it names is known to have been accepted; those not known here are read."""
+        unknown = [name for name in spec.waits_on if self._book.status(name) is None][:MOST_READS]
+        if not unknown:
+            self._accept(spec, reply)
+            return
+        found: list[str] = []
+
+        def read(name: str, kind: str, row: state_wire.Row | None) -> None:
+            known = self._newest(name, kind, row) is not None
+            found.append("known" if known else kind)
+            if len(found) < len(unknown):
+                return
+            if "absent" in found:
+                self._answer_known(spec.name_id, reply, (422, "waits_on: names a job that was never accepted"))
+            elif found.count("known") < len(found):
+                self._later(reply, "not decided yet")
+            else:
+                self._accept_after_names(spec, reply)
+
+        for name in unknown:
+            self._store.get(
+                job_key(name), lambda kind, row, name=name: read(name, kind, row), Priority.ADMIT, LONGEST_WAIT_S,
+                READ_TIMEOUT_S,
+            )
+
+    def _records(self, spec: JobSpec, at: float) -> list[tuple[str, dict]]:
+        """The records of a new job with their keys: its own, and those that go on with the names it waits for."""
+        limit, key = int(RECORD_SHARE * self._store.value_bytes), job_key(spec.name_id)
+        names = [(name, len(dumps(name)) + 1) for name in spec.waits_on]
+
+        def take(room: int) -> list[str]:
+            taken = 0
+            while taken < len(names) and names[taken][1] <= room:
+                room -= names[taken][1]
+                taken += 1
+            part = [name for name, _ in names[:taken]]
+            del names[:taken]
+            return part
+
+        record = JobRecord(spec.crew, ACTIVE, msgspec.structs.replace(spec, waits_on=[]), at)
+        bare = len(dumps(msgspec.to_builtins(record))) + len(b',"waits_on":[],"more":100')
+        record.s.waits_on = take(limit - bare)
+        further: list[tuple[str, dict]] = []
+        while names and len(further) < self._store.txn_ops:
+            further.append((f"{key}/{len(further) + 1}", {"w": take(limit - 20)}))
+        record.more = len(further)
+        return [(key, msgspec.to_builtins(record)), *further]
 
     def _accept(self, spec: JobSpec, reply: Reply) -> None:
         record = JobRecord(spec.crew, ACTIVE, spec, round(self._fx.wall(), 1))
@@ -102,19 +176,22 @@
         def done(outcome: Outcome, epoch: int, _failed: list[str]) -> None:
             if outcome is Outcome.OK:
                 self._book.learn(spec.name_id, record, epoch)
-                reply(201, self._status_body(spec.name_id, ACTIVE))
+                self._reply_status(201, spec.name_id, ACTIVE, reply)
             elif outcome is Outcome.REFUSED:
                 self._later(reply, "state service unavailable")
             else:
                 # Known already, or nobody knows: read, never guess.
                 self._answer_known(spec.name_id, reply, None)
 
-        value = msgspec.to_builtins(record)
-        if len(dumps(value)) > self._store.value_bytes:
+        records = self._records(spec, record.at)
+        size = sum(len(dumps(value)) for _, value in records)
+        too_large = any(len(dumps(value)) > self._store.value_bytes for _, value in records)
+        if too_large or len(records) > self._store.txn_ops or size > TXN_BYTES:
             self._answer_known(spec.name_id, reply, (400, "too large to be kept"))
             return
         self._store.txn(
-            {key: 0}, [state_wire.put(key, value)], Priority.ADMIT, done, LONGEST_WAIT_S, READ_TIMEOUT_S
+            {key: 0}, [state_wire.put(path, value) for path, value in records], Priority.ADMIT, done, LONGEST_WAIT_S,
+            READ_TIMEOUT_S,
         )
 
     def _answer_known(self, job: str, reply: Reply, refusal: tuple[int, str] | None) -> None:
@@ -123,7 +200,7 @@
         def read(kind: str, row: state_wire.Row | None) -> None:
             status = self._newest(job, kind, row)
             if status is not None:
-                reply(200, self._status_body(job, status))
+                self._reply_status(200, job, status, reply)
             elif kind == "absent" and refusal is not None:
                 reply(refusal[0], error_body(refusal[1]))
             else:
@@ -136,6 +213,8 @@
         team = self._teams.get(spec.crew)
         if team is None:
             return "unknown team"
+        if spec.name_id in spec.waits_on:
+            return "waits_on: a job can't wait for itself"
         at_once = 1 if spec.shape == ARRAY else spec.plays
         if 0 < team.cpus_max < at_once * spec.vcpus or 0 < team.gpus_max < at_once * spec.cards:
             return "the job needs more than the team's limit"
@@ -166,7 +245,7 @@
         def read(kind: str, row: state_wire.Row | None) -> None:
             status = self._newest(job, kind, row)
             if status is not None:
-                reply(200, self._status_body(job, status))
+                self._reply_status(200, job, status, reply)
             elif kind == "absent":
                 reply(404, error_body("no such job"))
             else:
@@ -190,7 +269,8 @@
 
     # -- cancellations
 
-    def cancel(self, job: str, reply: Reply, tries: int = 3) -> None:
+    def cancel(self, job: str, reply: Reply, tries: int = 3, *, asked: bool = True) -> None:
+        """Cancel a job that its user has `asked` to cancel, or that needs a cancelled one."""
         if not valid_job_id(job):
             reply(404, error_body("no such job"))
             return
@@ -198,7 +278,7 @@
         if ended is not None:
             reply(200, dumps(JobStatus(job, ended[0])))
             return
-        if self._busy(Priority.ADMIT, reply):
+        if asked and self._busy(Priority.ADMIT, reply):
             return
 
         def read(kind: str, row: state_wire.Row | None) -> None:
--- a/tealhook/jobs/commits.py
+++ b/tealhook/jobs/commits.py
@@ -164,7 +164,10 @@
         if job.finished:
             kind = "done"
             when[job_key(job.id)] = job.stamp
-            changes.append(state_wire.put(job_key(job.id), {"t": job.team, "st": DONE}))
+            # When it was done is when jobs that wait for it were released, whoever looks after them then.
+            changes.append(state_wire.put(
+                job_key(job.id), {"t": job.team, "st": DONE, "at": round(self._fx.wall(), 1)}
+            ))
         if job.finished or job.spec is None:
             kind = "done" if job.finished else "drop"
             # They stay until nothing is on a machine; the first goes last.
@@ -226,7 +229,7 @@
                 log.debug("%s done after %.1f s: %s, %d tasks of %g CPUs, expected %.1f s, due %s", job.id,
                           self._fx.now() - job.since, job.spec.lineup, job.plays, job.spec.vcpus,
                           job.spec.expected_s, job.spec.due_s)
-            self._book.learn(job.id, JobRecord(job.team, DONE), epoch)
+            self._book.learn(job.id, JobRecord(job.team, DONE, at=round(self._fx.wall(), 1)), epoch)
             job.spec = None
             if job.attempts:
                 self._keeper.stop_all(home, job)
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -11,9 +11,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from tealhook.jobs.book import Book, job_key, parse_record
+from tealhook.jobs.book import Book, Known, job_key, parse_record
 from tealhook.jobs.commits import Commits
 from tealhook.jobs.job import LIVE, Attempt, Job, live_key, piece_of
+from tealhook.jobs.pipelines import Pipelines
 from tealhook.jobs.rounds import PATIENT_FAILURES, Rounds, TeamHome
 from tealhook.loop.effects import Effects, every
 from tealhook.mesh import Mesh
@@ -55,6 +56,7 @@
             effects, settings, policy, ownership, store, mesh, variables, self.homes, lambda: self.commits.behind,
             self.commits.soon,
         )
+        self.pipelines = Pipelines(effects, settings, store, book, self.homes)
         every(effects, self._workers.lease_s / 6, self._look_all)
         every(effects, self._workers.report_s, self._tidy)
 
@@ -155,8 +157,22 @@
     def _job(self, home: TeamHome, job_id: str, now: float) -> Job:
         """A job as the book knows it. Its age outlasts the processes that look after it."""
         known = self._book.active.get(job_id)
-        age = self._fx.wall() - known.at if known is not None and known.at > 0 else 0.0
-        return Job(job_id, home.team, known, now - max(0.0, age))
+        job = Job(job_id, home.team, known, now)
+        if known is not None:
+            self._weigh(job, known, now)
+            job.since = job.waiting_since = self._released(known, now)
+            if known.held:
+                self.pipelines.look_at(job_id)
+        return job
+
+    def _released(self, known: Known, now: float) -> float:
+        """When a job was accepted, or else when the last of those that it waited for was done."""
+        at = max(known.at, known.released_at)
+        return now - max(0.0, self._fx.wall() - at) if at > 0 else now
+
+    def _weigh(self, job: Job, known: Known, now: float) -> None:
+        job.urgency = known.urgency
+        job.due_at = now + known.due_at - self._fx.wall()
 
     def wake(self) -> None:
         """There may be something to place."""
@@ -171,6 +187,15 @@
         job = home.jobs.get(job_id)
         known = self._book.active.get(job_id)
         if known is not None:
+            if known.held:
+                self.pipelines.look_at(job_id)
+            if job is not None and job.spec is not None:
+                now = self._fx.now()
+                self._weigh(job, known, now)
+                if job.held and not known.held:
+                    job.held = False
+                    job.since = job.waiting_since = self._released(known, now)
+                    self.rounds.wake()
             if job is None:
                 job = home.jobs[job_id] = self._job(home, job_id, self._fx.now())
                 job.loaded = True
@@ -359,6 +384,8 @@
                 for job in home.jobs.values():
                     if job.spec is None:
                         self.stop_all(home, job)  # a kill may have been lost on its way
+                    elif job.held:
+                        self.pipelines.look_at(job.id)
                 self.look(home)
 
     def look(self, home: TeamHome) -> None:
@@ -506,7 +533,7 @@
             taken = home.taken()
             urgent = sum(
                 job.need[0] * len(job.attempts) for job in home.jobs.values()
-                if job.spec is not None and URGENCY_RANK[job.spec.urgency] > URGENCY_RANK["standard"]
+                if job.spec is not None and job.urgency > URGENCY_RANK["standard"]
             )
             over = max(0.0, taken - home.guarantee) if home.guarantee > 0 else taken
             found.append(wire.Usage(home.team, taken, urgent, over))
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import heapq
+import math
 from typing import Any
 
 from tealhook.jobs.book import Known
 from tealhook.placement import Placed
 from tealhook.wire.common import dumps
 from tealhook.wire.mesh import Shape
-from tealhook.wire.users import GANG, URGENCY_RANK, JobSpec
+from tealhook.wire.users import GANG, JobSpec
 
 LIVE = "live/"
 FIRST_SHARE = 0.75  # of the first piece is for assignments, the rest for what is done
@@ -61,6 +62,9 @@
         self.id = job
         self.team = team
         self.spec: JobSpec | None = known.spec if known else None
+        self.held = known.held if known else False  # it waits for other jobs: none of its tasks may start
+        self.urgency = known.urgency if known else 0  # its own, or the highest of any job that needs it
+        self.due_at = math.inf  # when it should be done, by the deadlines of the jobs that need it too
         self.need = self.spec.need if self.spec else (0.0, 0.0, 0.0)
         self.stamp = known.stamp if known else 0
         self.stamps: dict[int, int] = {}  # of the pieces of its record, as far as they are there
@@ -96,8 +100,8 @@
         return self.spec is not None and self.spec.shape == GANG
 
     def waiting(self) -> int:
-        """Tasks that are neither done nor assigned."""
-        if self.spec is None:
+        """Tasks that are neither done nor assigned, and may start."""
+        if self.spec is None or self.held:
             return 0
         return self.plays - self.done_count - len(self.attempts) - len(self.staged)
 
@@ -105,7 +109,7 @@
         spec = self.spec
         return Shape(
             spec.vcpus, spec.cards, spec.memory_gb, spec.playbook or "", spec.pull_gb, spec.loaners,
-            tuple(spec.rigs or ()), URGENCY_RANK[spec.urgency], spec.expected_s,
+            tuple(spec.rigs or ()), self.urgency, spec.expected_s,
         )
 
     def take_waiting(self, count: int) -> list[int]:
--- /dev/null
+++ b/tealhook/jobs/pipelines.py
@@ -0,0 +1,116 @@
+"""Jobs that wait for others, in the homes of this node: cancelled with what they need, by the owner of their home.
+
+Everything follows from the records as they stand, again and again, never from an event alone: so it goes on after a
+takeover or an outage.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import msgspec
+
+from tealhook.jobs.book import ACTIVE, CANCELLED, Book, JobRecord, job_key, parse_record
+from tealhook.loop.effects import Effects
+from tealhook.settings import Settings
+from tealhook.store import Outcome, Priority, StateClient
+from tealhook.wire import state as state_wire
+
+log = logging.getLogger("tealhook.jobs")
+
+
+class Pipelines:
+    """Held jobs of the homes that this node owns."""
+
+    def __init__(
+        self, effects: Effects, settings: Settings, store: StateClient, book: Book, homes: dict[str, Any],
+    ) -> None:
+        self._fx = effects
+        self._store = store
+        self._book = book
+        self._homes = homes
+        self._pause = settings.params.workers.report_s / 50
+        self._due: dict[str, None] = {}  # held jobs to be looked at
+        self._timer = False
+        self._busy: set[str] = set()  # being cancelled
+        self._reading: set[str] = set()
+
+    def look_at(self, job: str) -> None:
+        """A job waits for others: see soon whether it must be cancelled, or waits for one that is not known here."""
+        self._due[job] = None
+        self._soon(self._pause)
+
+    def _soon(self, pause: float) -> None:
+        if not self._timer:
+            self._timer = True
+            self._fx.later(pause, self._look)
+
+    def _look(self) -> None:
+        self._timer = False
+        doomed: list[str] = []
+        for job in self._due:
+            known = self._book.active.get(job)
+            if known is None or not known.held or known.team not in self._homes or job in self._busy:
+                continue
+            for name in self._book.unknown(job):
+                self._read(name, job)
+            if self._book.doomed(job):
+                doomed.append(job)
+        self._due.clear()
+        most = self._store.txn_ops
+        for first in range(0, len(doomed), most):
+            self._cancel(doomed[first : first + most])
+
+    def _read(self, name: str, job: str) -> None:
+        """A job that ended so long ago that it is not remembered, or one that our view lacks."""
+        if name in self._reading:
+            return
+        self._reading.add(name)
+
+        def read(kind: str, row: state_wire.Row | None) -> None:
+            self._reading.discard(name)
+            record = parse_record(row.v) if row is not None else None
+            if record is not None:
+                self._book.learn(name, record, row.stamp)
+            elif kind == "absent":
+                log.error("%s waits for %s, which is not on record", job, name)
+
+        self._store.get(job_key(name), read, Priority.ASSIGN)
+
+    def _cancel(self, jobs: list[str]) -> None:
+        """Write that jobs are cancelled, several at once; what fails of them is read, and looked at again."""
+        after = {
+            job: JobRecord(self._book.active[job].team, CANCELLED, at=round(self._fx.wall(), 1)) for job in jobs
+        }
+        self._busy.update(jobs)
+
+        def done(outcome: Outcome, epoch: int, failed: list[str]) -> None:
+            self._busy.difference_update(jobs)
+            again = []
+            for job, record in after.items():
+                if outcome is Outcome.OK:
+                    self._book.learn(job, record, epoch)
+                elif outcome is Outcome.UNSURE or job_key(job) in failed:
+                    self._reread(job)
+                else:
+                    again.append(job)
+            for job in again:
+                self._due[job] = None
+            if again:
+                self._soon(self._pause if outcome is Outcome.CONFLICT else 10 * self._pause)
+
+        when = {job_key(job): self._book.active[job].stamp for job in jobs}
+        apply = [state_wire.put(job_key(job), msgspec.to_builtins(record)) for job, record in after.items()]
+        self._store.txn(when, apply, Priority.ADMIT, done)
+
+    def _reread(self, job: str) -> None:
+        def read(kind: str, row: state_wire.Row | None) -> None:
+            record = parse_record(row.v) if row is not None else None
+            if record is not None:
+                self._book.learn(job, record, row.stamp)
+            if record is None or record.st == ACTIVE:
+                self._due[job] = None
+                self._soon(10 * self._pause)
+
+        self._store.get(job_key(job), read, Priority.ASSIGN)
--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -159,7 +159,7 @@
             secured_left = home.guarantee
             oldest = True
             for job in sorted(home.jobs.values(), key=lambda j: j.stamp):
-                if job.spec is None or job.finished:
+                if job.spec is None or job.finished or job.held:
                     continue
                 # The guarantee is for teams whose unfinished jobs fit into it whole. Counting only what is left of
                 # them would let nearly every job stop others' tasks once most of it is done.
@@ -201,7 +201,9 @@
         spoken_for = [0.0, 0.0]
         most = (home.limit * HELD_SHARE, home.gpus_limit * HELD_SHARE)
         for job in sorted(home.jobs.values(), key=lambda j: j.stamp):
-            if job.spec is None or job.gang or not self._overdue(job, now, hold_age) or job.not_before > now:
+            if job.spec is None or job.gang or job.held or job.not_before > now:
+                continue
+            if not self._overdue(job, now, hold_age):
                 continue
             for which in (0, 1):
                 if not spoken_for[which] or spoken_for[which] + job.need[which] <= most[which]:
@@ -211,10 +213,13 @@
     def _late(self, job: Job, now: float) -> bool:
         """Whether a job can't be done in time any more, so that others which can go before it.
 
-        By the owner's estimate, which is often too high: a quarter of it is not believed.
+        By the owner's estimate, which is often too high: a quarter of it is not believed. A deadline, its own or
+        that of jobs that need it, counts from the submission, an objective from when it was released.
         """
-        due = job.spec.due_s or max(self._done_within.get(job.spec.lineup, ()), default=math.inf)
-        return now + 0.75 * job.spec.expected_s > job.since + due
+        due_at = job.due_at
+        if math.isinf(due_at):
+            due_at = job.since + max(self._done_within.get(job.spec.lineup, ()), default=math.inf)
+        return now + 0.75 * job.spec.expected_s > due_at
 
     def _limits(self, job: Job, zones: list[str]) -> dict[str, int]:
         """Most tasks of a job that may still go to each zone."""
@@ -294,7 +299,8 @@
         """
         waited = now - item.job.waiting_since
         if item.shape.urgency > URGENCY_RANK["standard"]:
-            return waited >= self._wait_s.get(item.job.spec.lineup, 0.0) / 4
+            at_once = URGENCY_RANK[item.job.spec.urgency] == item.shape.urgency  # not on behalf of others
+            return waited >= self._wait_s.get(item.job.spec.lineup, 0.0 if at_once else self._workers.lease_s) / 4
         return item.secured and waited > self._guarantee_s / 2
 
     def _reserve(
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -14,7 +14,6 @@
 from tealhook.settings import Settings
 from tealhook.wire import mesh
 from tealhook.wire.cloud import MachineType
-from tealhook.wire.users import URGENCY_RANK
 from tealhook.wire.workers import EXITED
 
 NEVER_S = 1e9
@@ -332,7 +331,7 @@
             _lost, victims, room = offer
             for held in victims:
                 known = self._book.active[held.job]
-                if known.team in self._over and URGENCY_RANK[known.spec.urgency] >= want.shape.urgency:
+                if known.team in self._over and known.urgency >= want.shape.urgency:
                     self._over[known.team] -= known.spec.vcpus
             free[machine.name] = [have - used for have, used in zip(room, need, strict=True)]
             given.append(self._book_room(machine, want, need, victims, now))
@@ -386,7 +385,7 @@
             if fits(room, need):
                 break
             known = self._book.active[held.job]
-            if URGENCY_RANK[known.spec.urgency] >= want.shape.urgency:
+            if known.urgency >= want.shape.urgency:
                 # Of equal or higher priority: only what its team runs beyond its guarantee, for a guarantee.
                 left = over.setdefault(known.team, self._over.get(known.team, 0.0))
                 if not want.secured or known.team == want.team or not left >= known.spec.vcpus > 0:
--- a/tealhook/store/__init__.py
+++ b/tealhook/store/__init__.py
@@ -2,6 +2,7 @@
 
 from tealhook.store.client import Outcome, Priority, StateClient
 from tealhook.store.ownership import FLEET, Ownership, home_key, part_key
+from tealhook.store.versions import Versions
 from tealhook.store.watcher import Watcher
 
-__all__ = ["FLEET", "Outcome", "Ownership", "Priority", "StateClient", "Watcher", "home_key", "part_key"]
+__all__ = ["FLEET", "Outcome", "Ownership", "Priority", "StateClient", "Versions", "Watcher", "home_key", "part_key"]
--- a/tealhook/wire/users.py
+++ b/tealhook/wire/users.py
@@ -51,6 +51,7 @@
     snapshot_every_s: float = 0.0
     snapshot_s: float = 0.0
     due_s: float | None = None
+    waits_on: list[str] = []
 
     @property
     def need(self) -> tuple[float, float, float]:
@@ -128,14 +129,21 @@
     return [_name(rig) for rig in value]
 
 
+def _job_ids(value: Any) -> list[str]:
+    if type(value) is not list or not all(type(job) is str and valid_job_id(job) for job in value):
+        raise BadSpec("must be a list of job ids, or null")
+    return list(dict.fromkeys(value))  # to name a job twice says nothing more
+
+
 # Each field of a submission but its id; NULLABLE are those that the protocol calls null or something else.
 _CHECKS: dict[str, Callable[[Any], Any]] = {
     "lineup": _lineup, "crew": _name, "shape": _one_of(SHAPES), "urgency": _one_of(URGENCIES), "plays": _plays,
     "vcpus": _amount, "cards": _amount, "memory_gb": _amount, "playbook": _name, "pull_gb": _amount,
     "rigs": _rigs, "yard": _name, "together": _flag, "spread": _flag, "loaners": _flag,
     "expected_s": _amount, "snapshot_every_s": _amount, "snapshot_s": _amount, "due_s": _amount,
+    "waits_on": _job_ids,
 }
-NULLABLE = frozenset(("rigs", "yard", "due_s"))
+NULLABLE = frozenset(("rigs", "yard", "due_s", "waits_on"))
 
 
 def _repeated(text: str, fields: dict[str, msgspec.Raw]) -> set[str]:
@@ -177,6 +185,7 @@
         if name in repeated:
             raise BadSpec(f"{name}: given more than once")
     spec = JobSpec(job, **{name: _checked(fields, name) for name in _CHECKS})
+    spec.waits_on = spec.waits_on or []
     if spec.vcpus == 0 and spec.cards == 0 and spec.memory_gb == 0:
         raise BadSpec("vcpus, cards, memory_gb: a task must take something")
     # Malformed, not 422: the fields contradict each other, whatever teams and types there are.
