--- a/tealhook/cli.py
+++ b/tealhook/cli.py
@@ -60,7 +60,9 @@
         print(f"tealhook: {exc}", file=sys.stderr)
         return EXIT_USAGE
     if args.command == "check":
-        print("ok")
+        limits = settings.params.state.least
+        print(f"ok; written to the state service: {limits.write_rps:g} changes/s, {limits.value_kb:g} KiB a value, "
+              f"{limits.txn_ops} changes a transaction")
         return EXIT_OK
     from tealhook.runtime import serve
 
--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -66,6 +66,16 @@
         self.absent_at: float | None = None  # listed before, not in any list since then
 
 
+def split_types(value: dict, most: int) -> list[dict]:
+    """Machine types as values of at most so many bytes; the first holds as many as fit."""
+    values: list[dict] = [value | {"rigs": []}]
+    for rig in value["rigs"]:
+        if len(dumps(values[-1] | {"rigs": [*values[-1]["rigs"], rig]})) > most and values[-1]["rigs"]:
+            values.append({"rigs": []})
+        values[-1]["rigs"].append(rig)
+    return values
+
+
 class FleetKeeper:
     """Runs on every node; acts only on the one that owns the fleet."""
 
@@ -125,23 +135,24 @@
     # -- machine types: read by every node, asked for by the owner
 
     def _read_types(self) -> None:
-        def done(kind: str, row: state_wire.Row | None) -> None:
-            if kind == "ok":
-                self._take_types(row.v)
+        def done(rows: list[state_wire.Row] | None, _epoch: int) -> None:
+            if not self._types:
+                self._take_types([row.v for row in rows or ()])
             if not self._types:
                 self._fx.later(0.3, self._read_types)
 
         if not self._types:
-            self._store.get(TYPES_KEY, done, Priority.ADMIT)
+            self._store.list(TYPES_KEY, done)
 
-    def _take_types(self, value: Any) -> None:
+    def _take_types(self, values: list[Any]) -> None:
+        """All types, from one value or several."""
         try:
-            found = msgspec.convert(value, wire.MachineTypes)
+            found = [msgspec.convert(value, wire.MachineTypes) for value in values]
         except msgspec.ValidationError as exc:
             log.error("bad machine types: %s", exc)
             return
         self._types.clear()
-        for rig in found.rigs:
+        for rig in (rig for part in found for rig in part.rigs):
             self._types[rig.name] = rig
             for zone in rig.yards:
                 self._own.add(part_key(zone))
@@ -158,29 +169,40 @@
                 return
             self._types_at = self._fx.now()
             value = msgspec.to_builtins(found)
-            self._take_types(value)
+            self._take_types([value])
             kinds = {(rig.name, rig.vcpus, rig.memory_gb, tuple(rig.yards)) for rig in found.rigs}
             if kinds != self._stored_types:
-                self._store_types(value, kinds)
+                self._store_types(split_types(value, self._store.value_bytes), kinds)
 
         self._call("GET", "/machine_types", None, answer)
 
-    def _store_types(self, value: dict, kinds: set[tuple]) -> None:
+    def _store_types(self, values: list[dict], kinds: set[tuple]) -> None:
         """Tell the other nodes of the machine types; again and again until that is certain.
 
         One lost write once left nodes without them for good: their machines had no room, and no job began.
+        What one value can't hold goes to further ones. A reader takes the types for complete once it has the first,
+        so that one is written last where they don't fit one transaction.
         """
         token = self._token
+        puts = [
+            state_wire.put(f"{TYPES_KEY}/{i}" if i else TYPES_KEY, value) for i, value in reversed([*enumerate(values)])
+        ]
+        steps = []
+        while puts:
+            steps.append(puts[: self._store.txn_ops])
+            del puts[: self._store.txn_ops]
 
         def done(outcome: Outcome, _epoch: int, _failed: list[str]) -> None:
             if self._token != token or token is None:
                 return
-            if outcome is Outcome.OK:
+            if outcome is Outcome.OK and steps:
+                self._store.txn({FLEET: token}, steps.pop(0), Priority.ADMIT, done)
+            elif outcome is Outcome.OK:
                 self._stored_types = kinds
             else:
                 self._types_at = self._fx.now() - TYPES_LAGS * self._lag + TYPES_AGAIN_S
 
-        self._store.txn({FLEET: token or 0}, [state_wire.put(TYPES_KEY, value)], Priority.ADMIT, done)
+        self._store.txn({FLEET: token or 0}, steps.pop(0), Priority.ADMIT, done)
 
     def _call(self, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         self._calling += 1
--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -103,7 +103,7 @@
             if outcome is Outcome.OK:
                 self._book.learn(spec.name_id, record, epoch)
                 reply(201, self._status_body(spec.name_id, ACTIVE))
-            elif outcome is Outcome.REFUSED:
+            elif outcome in (Outcome.REFUSED, Outcome.REJECTED):
                 self._later(reply, "state service unavailable")
             else:
                 # Known already, or nobody knows: read, never guess.
@@ -222,7 +222,7 @@
             if outcome is Outcome.OK:
                 self._book.learn(job, after, epoch)
                 reply(200, dumps(JobStatus(job, CANCELLED)))
-            elif outcome is Outcome.REFUSED or tries <= 0:
+            elif outcome in (Outcome.REFUSED, Outcome.REJECTED) or tries <= 0:
                 self._later(reply, "state service unavailable")
             else:
                 self.cancel(job, reply, tries - 1)  # done meanwhile, or nobody knows: read again
--- a/tealhook/jobs/commits.py
+++ b/tealhook/jobs/commits.py
@@ -21,6 +21,10 @@
 log = logging.getLogger("tealhook.jobs")
 
 TXN_BYTES = 56 * 1024  # of the 64 KiB that a transaction may have
+MOST_JOBS = 64  # in one transaction
+SMALLER = 2  # so often the write of a job is halved, once one was rejected
+SMALL_S = 60.0  # so long it stays small
+MOST_PAUSE_S = 60.0  # between tries of one that is rejected however small it is
 
 
 class Keeper(Protocol):
@@ -44,10 +48,11 @@
 class _Committed:
     """What a transaction holds of one job."""
 
-    __slots__ = ("home", "job", "staged", "kind", "written", "kept")
+    __slots__ = ("home", "job", "staged", "kind", "written", "kept", "moved", "named")
 
     def __init__(
-        self, home: TeamHome, job: Job, staged: list[Attempt], kind: str, written: Iterable[int], kept: set[int]
+        self, home: TeamHome, job: Job, staged: list[Attempt], kind: str, written: Iterable[int], kept: set[int],
+        moved: list[tuple[Attempt, int]], named: set[int],
     ) -> None:
         self.home = home
         self.job = job
@@ -55,6 +60,8 @@
         self.kind = kind
         self.written = set(written)  # pieces of the record
         self.kept = kept  # those of them that are there afterwards
+        self.moved = moved  # attempts that other pieces name afterwards
+        self.named = named  # pieces on whose stamps it depends
 
 
 class Commits:
@@ -72,6 +79,7 @@
         self._keeper = keeper
         self.off: dict[str, set[tuple[int, int]]] = {}  # job -> attempts proved off, until durable
         self.behind = False  # something placed waits for tokens to be made durable
+        self._most_jobs = MOST_JOBS  # of one transaction; fewer after one was rejected
         self._timer = None
         self._due = 0.0
 
@@ -102,7 +110,7 @@
             if not home.ready:
                 continue
             for job in home.jobs.values():
-                if job.committing or job.unsure:
+                if job.committing or job.unsure or now < job.held_until:
                     continue
                 over = job.spec is None and not job.attempts and job.stamps
                 if job.staged or job.finished:
@@ -136,7 +144,7 @@
                 continue
             grown = size + sum(len(dumps(change)) for change in changes) + 60 * len(conditions)
             too_many = len(apply) + len(changes) > room or len(when) + len(conditions) > 4 * self._store.txn_ops
-            if batch and (too_many or grown > TXN_BYTES):
+            if batch and (too_many or grown > TXN_BYTES or len(batch) >= self._most_jobs):
                 left = self.behind = True
                 break
             size = grown
@@ -159,8 +167,15 @@
         # The first piece is in every condition, and written by every assignment: so a write that is executed late
         # can't slip in between, and attempts given out by any piece are counted.
         when = {home_key(home.team): home.token, live_key(home.team, job.id): job.stamps.get(0, 0)}
+        # A copy that may be executed late must not come to pieces of which we would know nothing.
+        named = {0, *sorted(job.tried)[: self._store.txn_ops]}
         changes: list[dict] = []
+        moved: list[tuple[Attempt, int]] = []
         kind, staged = "put", []
+        limit = min(0.97 * self._store.value_bytes, TXN_BYTES / 2)
+        most = min(self._store.txn_ops, int(TXN_BYTES / limit))
+        if job.rejected:
+            limit, most = limit / 2**min(job.rejected, SMALLER), max(2, most >> min(job.rejected, SMALLER))
         if job.finished:
             kind = "done"
             when[job_key(job.id)] = job.stamp
@@ -168,17 +183,17 @@
         if job.finished or job.spec is None:
             kind = "done" if job.finished else "drop"
             # They stay until nothing is on a machine; the first goes last.
-            pieces = [] if job.attempts else sorted(job.stamps, reverse=True)[: self._store.txn_ops - len(changes)]
+            pieces = [] if job.attempts else sorted(job.stamps, reverse=True)[: max(1, most - len(changes))]
             written: dict[int, Any] = dict.fromkeys(pieces)
             if kind == "drop" and not written:
                 job.soft = False
                 return when, [], None
         else:
-            limit = min(0.97 * self._store.value_bytes, TXN_BYTES / 2)
-            written = job.lay_out(int(limit), min(self._store.txn_ops, int(TXN_BYTES / limit)))
-            for attempt in [a for a in job.staged.values() if a.piece < 0]:
-                del job.staged[attempt.index]  # its reservation expires by itself
-                job.give_back(attempt.index, self._fx.now())
+            self._few_zones(job, 4 * self._store.txn_ops - 3 - 2 * most - len(job.tried))
+            written = job.lay_out(int(limit), most)
+            moved = job.moved
+            named |= {attempt.piece for attempt, _ in moved}
+            self._give_back(job, [a for a in job.staged.values() if a.piece < 0])
             staged = list(job.staged.values())
             if staged:
                 when[job_key(job.id)] = job.stamp
@@ -186,16 +201,32 @@
                     when[part_key(attempt.zone)] = attempt.token
         for piece, value in written.items():
             key = live_key(home.team, job.id, piece)
-            when[key] = job.stamps.get(piece, 0)
+            named.add(piece)
             if value is not None and (value["m"] or not piece):
                 changes.append(state_wire.put(key, value))
             elif piece in job.stamps:
                 changes.append(state_wire.drop(key))
+        for piece in named:
+            when[live_key(home.team, job.id, piece)] = job.stamps.get(piece, 0)
         kept = {piece for piece, value in written.items() if value is not None and (value["m"] or not piece)}
-        return when, changes, _Committed(home, job, staged, kind, written.keys(), kept)
+        return when, changes, _Committed(home, job, staged, kind, written.keys(), kept, moved, named)
+
+    def _few_zones(self, job: Job, most: int) -> None:
+        """Conditions are limited: what is staged in more zones than a transaction can name waits for the next."""
+        zones = sorted({attempt.zone for attempt in job.staged.values()})[max(1, most):]
+        self._give_back(job, [attempt for attempt in job.staged.values() if attempt.zone in zones])
+
+    def _give_back(self, job: Job, attempts: list[Attempt]) -> None:
+        for attempt in attempts:
+            del job.staged[attempt.index]  # its reservation expires by itself
+            job.give_back(attempt.index, self._fx.now())
 
     def _committed(self, batch: list[_Committed], outcome: Outcome, epoch: int, failed: list[str]) -> None:
         launches: dict[tuple[str, str], list[tuple[str, Attempt]]] = {}
+        if outcome is Outcome.REJECTED:
+            self._rejected(batch)
+        elif outcome is Outcome.OK:
+            self._most_jobs = min(MOST_JOBS, 2 * self._most_jobs)
         for part in batch:
             home, job = part.home, part.job
             job.committing = False
@@ -205,6 +236,8 @@
                 self._durable(part, epoch, launches)
             elif outcome is Outcome.UNSURE:
                 job.changed |= part.written
+                if 0 not in part.written:
+                    job.tried |= part.written
                 job.unsure = True
                 self._read_back(part)
             else:
@@ -216,8 +249,30 @@
         else:
             self.soon()
 
+    def _rejected(self, batch: list[_Committed]) -> None:
+        """It was too much, by limits that we don't know: less at once from now on, down to one job.
+
+        One that is rejected by itself is written smaller, and then less and less often: it must not hold up others.
+        """
+        now = self._fx.now()
+        self._most_jobs = max(1, len(batch) // 2)
+        if len(batch) > 1:
+            return
+        job = batch[0].job
+        job.rejected += 1
+        job.rejected_at = now
+        if job.rejected > SMALLER:
+            job.held_until = now + min(self._workers.report_s * 2 ** (job.rejected - SMALLER), MOST_PAUSE_S)
+            log.error("%s: its record is rejected by the state service, the next try is in %.0f s", job.id,
+                      job.held_until - now)
+            self._give_back(job, list(job.staged.values()))
+
     def _durable(self, part: _Committed, epoch: int, launches: dict) -> None:
         home, job = part.home, part.job
+        if self._fx.now() - job.rejected_at > SMALL_S:
+            job.rejected = 0
+        elif job.rejected:
+            job.rejected = min(job.rejected, SMALLER)
         for piece in part.written:
             job.stamps.pop(piece, None)
         job.stamps.update(dict.fromkeys(part.kept, epoch))
@@ -236,6 +291,9 @@
         if part.kind == "drop":
             self._keeper.end_if_clear(home, job)
             return
+        job.move(part.moved, part.written)
+        if 0 in part.written:
+            job.tried.clear()  # a copy of unknown outcome fails on the first piece's stamp from now on
         job.soft = bool(job.changed or job.staged.keys() - {a.index for a in part.staged})
         if not job.changed:
             self.off.pop(job.id, None)
@@ -256,7 +314,7 @@
         home, job = part.home, part.job
         now = self._fx.now()
         job.changed |= part.written
-        if any(live_key(home.team, job.id, piece) in failed for piece in {0, *part.written}):
+        if any(live_key(home.team, job.id, piece) in failed for piece in part.named):
             job.unsure = True
             self._read_back(part)
             return
@@ -302,8 +360,11 @@
             job.unsure = False
             before, stamps = dict(job.attempts), job.stamps
             job.stamps = {}
-            for row in rows:
-                job_id, piece = piece_of(row.path, home.team)
+            found = [(row, *piece_of(row.path, home.team)) for row in rows]
+            job.forget_places({
+                piece for row, job_id, piece in found if job_id == job.id and row.stamp == stamps.get(piece)
+            })
+            for row, job_id, piece in found:
                 if job_id != job.id:
                     continue
                 if row.stamp == stamps.get(piece):
@@ -314,6 +375,7 @@
                 except ValueError as exc:
                     log.error("%s", exc)
             for index, attempt in job.attempts.items():
+                attempt.piece = max(0, attempt.piece)
                 if before.get(index) is not attempt:
                     self._keeper.place(home, job, attempt)
             self._reread_job(job)
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -64,7 +64,13 @@
         self.need = self.spec.need if self.spec else (0.0, 0.0, 0.0)
         self.stamp = known.stamp if known else 0
         self.stamps: dict[int, int] = {}  # of the pieces of its record, as far as they are there
-        self.changed: set[int] = set()  # pieces that name attempts which are off
+        self.sizes: dict[int, int] = {}  # of pieces as they were read
+        self.changed: set[int] = set()  # pieces that name attempts which are off, or named elsewhere too
+        self.moved: list[tuple[Attempt, int]] = []  # with the write laid out last: to which piece
+        self.tried: set[int] = set()  # pieces that a copy of unknown outcome may yet come to
+        self.rejected = 0  # how often in a row its write was too much for the state service
+        self.rejected_at = -1e9
+        self.held_until = -1e9  # it is not written before
         self.counter = 0  # highest attempt number given out; attempts only grow
         self.plays = self.spec.plays if self.spec else 0
         self.done = bytearray(self.plays)
@@ -168,13 +174,23 @@
 
         What is staged goes to the first piece that has room for it, so that a job is never narrower than its room:
         one record of 8 KiB names some 250 machines. What finds no room in this write is no longer staged.
+
+        A piece larger than `limit`, as an earlier version wrote it, is not written before what it has too much is
+        named by others: in the same write, or by copies in writes before it. `moved` says which; a write of copies
+        alone lacks the first piece.
         """
         open_ = sorted(self.staged.values(), key=lambda a: a.index)
         for attempt in open_:
             attempt.piece = -1
         named = self.pieces()
         named.pop(-1, None)
+        self.moved = []
         written: dict[int, dict] = {}
+        large = {piece for piece in sorted({0, *self.changed})
+                 if len(dumps(self.encode(piece, named.get(piece, []), limit))) > limit}
+        for piece in sorted(large):
+            if not self._shrink(piece, named, large, written, limit, most) and not piece:
+                return written
         piece = 0
         while piece == 0 or open_ and len(written) < most:
             here = named.get(piece, [])
@@ -196,10 +212,77 @@
                 written[piece] = value
             open_ = open_[len(take):]
             piece += 1
-        for piece in sorted(self.changed - written.keys())[: most - len(written)]:
+        for piece in sorted(self.changed - written.keys() - large)[: max(0, most - len(written))]:
             written[piece] = self.encode(piece, named.get(piece, []), limit)
         return written
 
+    def _shrink(
+        self, piece: int, named: dict[int, list[Attempt]], large: set[int], written: dict[int, dict], limit: int,
+        most: int,
+    ) -> bool:
+        """Lay out a piece that is too large with the pieces that take over what it can't name.
+
+        False: only copies are written now, as many as there is room for, since the whole does not fit one write.
+        """
+        here = named.get(piece, [])
+        kept = self._fitting(piece, [], here, limit, int(limit * (1.0 if piece else FIRST_SHARE)))
+        rest = here[kept:]
+        copies: dict[int, list[Attempt]] = {}
+        target = 1
+        while rest:
+            if target not in large:
+                there = named.get(target, [])
+                count = self._fitting(target, there, rest, limit, limit)
+                if count:
+                    copies[target] = rest[:count]
+                    rest = rest[count:]
+                elif not there:
+                    return False  # names longer than any record
+            target += 1
+        if piece and 0 not in written:
+            most -= 1  # the first is written too
+        whole = len(written.keys() | copies.keys()) + (piece not in written) <= most
+        for target, attempts in copies.items():
+            if target not in written and len(written) >= most:
+                break
+            named[target] = sorted([*named.get(target, []), *attempts], key=lambda a: a.index)
+            written[target] = self.encode(target, named[target], limit)
+            self.moved += [(attempt, target) for attempt in attempts]
+        if whole:
+            named[piece] = here[:kept]
+            written[piece] = self.encode(piece, named[piece], limit)
+            large.discard(piece)
+        return whole
+
+    def _fitting(self, piece: int, there: list[Attempt], more: list[Attempt], limit: int, room: int) -> int:
+        """How many of the first of `more` a piece can name besides `there`."""
+        low, high = 0, min(len(more), room // LEAST_BYTES)
+        while low < high:
+            middle = (low + high + 1) // 2
+            both = sorted([*there, *more[:middle]], key=lambda a: a.index)
+            # What is done gives way to what may be on a machine.
+            if len(dumps(self.encode(piece, both, room))) <= room:
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+    def move(self, moved: list[tuple[Attempt, int]], written: set[int]) -> None:
+        """Attempts are durably named by other pieces now; those that named them may be written without them."""
+        for attempt, piece in moved:
+            if attempt.piece not in written:
+                self.changed.add(attempt.piece)
+            attempt.piece = piece
+            if self.attempts.get(attempt.index) is not attempt:
+                self.changed.add(piece)  # it ended meanwhile
+
+    def forget_places(self, kept: set[int]) -> None:
+        """Before pieces are read again: only those in `kept` are known to name what they named."""
+        self.sizes = {piece: size for piece, size in self.sizes.items() if piece in kept}
+        for attempt in self.attempts.values():
+            if attempt.piece not in kept:
+                attempt.piece = -1
+
     def encode(self, piece: int, attempts: list[Attempt], limit: int) -> dict:
         """The value of a piece, compact: assignments as runs by part and machine; in the first what is done as ranges.
 
@@ -262,6 +345,7 @@
             self.need = need
         self.counter = max(self.counter, counter)
         self.stamps[piece] = stamp
+        self.sizes[piece] = len(dumps(value))
         for first, last in ranges:
             for index in range(first, min(last + 1, self.plays)):
                 self.mark_done(index)
@@ -269,9 +353,22 @@
             attempt.piece = piece
             present = self.attempts.get(attempt.index)
             if present is not None and present.number >= attempt.number:
+                if present.number > attempt.number:
+                    self.changed.add(piece)
+                elif present.piece < 0:
+                    present.piece = piece
+                elif present.piece != piece:
+                    # Copied, and its first place not yet rewritten: it stays in the smaller record.
+                    here = self.sizes.get(present.piece, 0)
+                    self.changed.add(piece if here <= self.sizes[piece] else present.piece)
+                    if here > self.sizes[piece]:
+                        present.piece = piece
                 continue
             if off and (attempt.index, attempt.number) in off:
+                self.changed.add(piece)
                 continue
+            if present is not None and present.piece >= 0:
+                self.changed.add(present.piece)
             # Even of a done task an assignment on record counts until it is proved off.
             self.attempts[attempt.index] = attempt
         if not piece:
--- a/tealhook/settings/platform.py
+++ b/tealhook/settings/platform.py
@@ -49,11 +49,33 @@
     gang_peer_s: float = 0.0
 
 
+class Next(msgspec.Struct):
+    """Limits that the state service will have from some moment on, without notice; what is absent stays."""
+
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct):
+    """Limits of the state service. What is written keeps to `least`; what is read may be larger."""
+
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: Next | None = None
+
+    @property
+    def least(self) -> State:
+        """The limits to write within, now and after they have been lowered."""
+        coming = self.next or Next()
+        return State(
+            self.rps,
+            min(self.write_rps, coming.write_rps or self.write_rps),
+            min(self.value_kb, coming.value_kb or self.value_kb),
+            min(self.txn_ops, coming.txn_ops or self.txn_ops),
+        )
 
 
 class Cloud(msgspec.Struct):
@@ -142,8 +164,15 @@
     _check_positive(path, "params.state", params.state, ("rps", "write_rps", "value_kb", "txn_ops"))
     _check_positive(path, "params.cloud", params.cloud, ("rps", "list_lag_s"))
     _check_positive(path, "params.limits", params.limits, ("core_share", "mem_mb", "max_connections"))
-    if params.state.txn_ops < 2:
-        raise SettingsError(f"{path}: params.state.txn_ops: expected at least 2, got {params.state.txn_ops}")
+    groups = [("params.state", params.state)]
+    if params.state.next is not None:
+        coming = params.state.next
+        named = tuple(name for name in ("write_rps", "value_kb", "txn_ops") if getattr(coming, name) is not None)
+        _check_positive(path, "params.state.next", coming, named)
+        groups.append(("params.state.next", coming))
+    for group, state in groups:
+        if state.txn_ops is not None and state.txn_ops < 2:
+            raise SettingsError(f"{path}: {group}.txn_ops: expected at least 2, got {state.txn_ops}")
     if params.workers.cancel_s <= params.workers.lease_s:
         raise SettingsError(f"{path}: params.workers.cancel_s: expected more than lease_s")
     for i, team in enumerate(params.teams):
--- a/tealhook/store/client.py
+++ b/tealhook/store/client.py
@@ -23,6 +23,8 @@
 EVEN_REQUESTS = 0.7  # of the requests are shared evenly, the rest by homes
 EVEN_WRITES = 0.35  # likewise of the changes
 CALL_TIMEOUT_S = 2.0
+PACE_S = 1.0  # the pace changes once in so long: budgets allow bursts of a second
+LEAST_PACE = 0.3
 
 
 class Priority(enum.IntEnum):
@@ -41,7 +43,8 @@
 class Outcome(enum.Enum):
     OK = "ok"
     CONFLICT = "conflict"
-    REFUSED = "refused"  # certainly not executed
+    REFUSED = "refused"  # certainly not executed; the same may pass later
+    REJECTED = "rejected"  # certainly not executed, and never will be as it is
     UNSURE = "unsure"  # may have been executed, or may yet be
 
 
@@ -63,8 +66,11 @@
 
     def __init__(self, effects: Effects, settings: Settings) -> None:
         self._fx = effects
-        limits = settings.params.state
+        limits = settings.params.state.least
         self._rps, self._wps = limits.rps, limits.write_rps
+        self._pace = 1.0  # share of the budgets that is used: less while the service says that they are overused
+        self._paced_at = -1e9
+        self._part = (1, None)
         self.txn_ops = limits.txn_ops
         self.value_bytes = int(limits.value_kb * 1024)
         now = effects.now()
@@ -84,15 +90,24 @@
         An even share of all would starve one that has taken over the others' homes.
         """
         now = self._fx.now()
+        self._part = (nodes, homes)
 
         def part(even: float) -> float:
             return even / nodes + (1.0 - even) * (1.0 / nodes if homes is None else homes)
 
-        rps = self._rps * USED_SHARE * part(EVEN_REQUESTS)
-        wps = self._wps * USED_SHARE * part(EVEN_WRITES)
+        rps = self._rps * USED_SHARE * self._pace * part(EVEN_REQUESTS)
+        wps = self._wps * USED_SHARE * self._pace * part(EVEN_WRITES)
         self._requests.set_rate(rps, rps, now)
         self._writes.set_rate(wps, wps, now)
 
+    def _keep_pace(self, over: bool, now: float) -> None:
+        """Slow down while others overuse the budgets or these were lowered, and speed up again slowly."""
+        if now - self._paced_at < PACE_S or not over and self._pace >= 1.0:
+            return
+        self._paced_at = now
+        self._pace = max(LEAST_PACE, 0.8 * self._pace) if over else min(1.0, 1.02 * self._pace)
+        self.share(*self._part)
+
     @property
     def served(self) -> bool:
         """Whether the last word from the state service was an answer."""
@@ -156,6 +171,8 @@
                 self.failed_at = now
             else:
                 self.answered_at = now
+            if status is not None and status != 503:
+                self._keep_pace(status == 429, now)
             if status == 429:
                 self._requests.drain(now)
                 self._writes.drain(now)
@@ -255,6 +272,9 @@
             if status == 400:
                 ended = b"no such lease" in body  # as after any cut that outlasts it: the renewal sees to that
                 log.log(logging.INFO if ended else logging.ERROR, "state service: transaction refused: %s", body[:200])
+                if not ended:
+                    done(Outcome.REJECTED, 0, [])
+                    return
             # 503 and 429 say that it was not executed; silence and anything unknown say nothing.
             done(Outcome.REFUSED if status in (400, 429, 503) else Outcome.UNSURE, 0, [])
 
--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -24,6 +24,7 @@
 PART = "own/part/"
 HOME = "own/home/"
 FLEET = "own/fleet"
+MOST_CLAIMS = 8  # of one transaction
 
 
 def part_key(zone: str) -> str:
@@ -95,6 +96,8 @@
         self._hold: int | None = None
         self._registered = False
         self._busy = False
+        self._most_claims = MOST_CLAIMS  # of one transaction; fewer after one was rejected
+        self._claim_from = -1e9  # a rejected claim is not repeated before
         self._rows: dict[str, _Owned] = {}
         self._absent_since: dict[str, float] = {}
         self._changed_at = effects.now()  # when the set of live nodes last changed
@@ -286,7 +289,7 @@
         if self.doubtful:
             return
         self._ticked_at = self._fx.now()
-        if self._hold is None or self._busy or not self.watcher.synced:
+        if self._hold is None or self._busy or not self.watcher.synced or self._ticked_at < self._claim_from:
             return
         if not self._registered:
             if NODE + self.node not in self._rows:
@@ -304,7 +307,7 @@
             if node == self.node or now - self._absent_since.get(key, now) > self.ttl_s:
                 claims.append(key)
         if claims:
-            self._write(claims[: max(1, min(self._store.txn_ops - 1, 8))])
+            self._write(claims[: max(1, min(self._store.txn_ops - 1, self._most_claims))])
             return
         self._give_up(plan, now, stranded)
 
@@ -319,7 +322,11 @@
 
         def done(outcome: Outcome, epoch: int, failed: list[str]) -> None:
             self._busy = False
+            if outcome is Outcome.REJECTED:
+                self._most_claims = max(1, len(keys) // 2)
+                self._claim_from = self._fx.now() + self.ttl_s / 12
             if outcome is Outcome.OK:
+                self._most_claims = min(MOST_CLAIMS, 2 * self._most_claims)
                 for key in keys:
                     known = self._rows.get(key)
                     if known is None or known.stamp < epoch:
