--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -142,7 +142,7 @@
                 self._fx.later(0.3, self._read_types)
 
         if not self._types:
-            self._store.list(TYPES_KEY, done)
+            self._store.list(TYPES_KEY, done, priority=Priority.ADMIT, wait=1.0, timeout=CALL_TIMEOUT_S)
 
     def _take_types(self, values: list[Any]) -> None:
         """All types, from one value or several."""
--- a/tealhook/store/client.py
+++ b/tealhook/store/client.py
@@ -204,7 +204,10 @@
 
         self._submit(priority, "GET", "/store/" + quote(key, safe="/"), None, 0, wait, timeout, answer)
 
-    def list(self, prefix: str, done: Callable[[list[wire.Row] | None, int], Any], page: int = 500) -> None:
+    def list(
+        self, prefix: str, done: Callable[[list[wire.Row] | None, int], Any], page: int = 500,
+        priority: Priority = Priority.ASSIGN, wait: float = 5.0, timeout: float = 2 * CALL_TIMEOUT_S,
+    ) -> None:
         """All rows below a prefix with the epoch of the first page, or (None, 0)."""
         rows: list[wire.Row] = []
         first: list[int] = []
@@ -230,7 +233,7 @@
             target = f"/store?starts={quote(prefix, safe='/')}&page={page}"
             if after:
                 target += f"&after={quote(after, safe='/')}"
-            self._submit(Priority.ASSIGN, "GET", target, None, 0, 5.0, 2 * CALL_TIMEOUT_S, answer)
+            self._submit(priority, "GET", target, None, 0, wait, timeout, answer)
 
         ask("")
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -23,6 +24,9 @@
         self.waiting: list[tuple[str, str, int, Callable]] = []
         self.retained = 10_000  # changes that a watch can still be told of
         self.forgotten = 0  # the newest revision of which a change is not retained any more
+        self.lowered: Any = None  # limits that are enforced since `lower`
+        self.refused: Counter[str] = Counter()  # by those limits: why, how often
+        self._tokens, self._tokens_at = 0.0, 0.0
 
     def handle(self, node: str, method: str, target: str, body: bytes | None, answer: Callable) -> None:
         url = urlsplit(target)
@@ -72,12 +76,45 @@
             if owner is None or owner[0]["n"] != node:
                 raise self.world.broken(f"two writers: {node} writes {key}, {owner and owner[0]['n']} owns it")
 
+    def lower(self, **limits: float) -> None:
+        """From now on these limits are enforced (by default those of `state.next`); what is stored stays readable."""
+        least = self.world.settings.params.state.least
+        self.lowered = {name: getattr(least, name) for name in ("write_rps", "value_kb", "txn_ops")} | limits
+        self._tokens, self._tokens_at = self.lowered["write_rps"], self.world.now
+
+    def _over(self, body: dict) -> int | None:
+        """400 or 429 where a transaction goes beyond the lowered limits."""
+        limits, now = self.lowered, self.world.now
+        values = [json.dumps(op["v"], separators=(",", ":")) for op in body["apply"] if "write" in op]
+        why = None
+        if len(body["apply"]) > limits["txn_ops"]:
+            why = "operations"
+        elif len(body["when"]) > 4 * limits["txn_ops"]:
+            why = "conditions"
+        elif any(len(value.encode()) > 1024 * limits["value_kb"] for value in values):
+            why = "value"
+        elif len(json.dumps(body, separators=(",", ":")).encode()) > 64 * 1024:
+            why = "size"
+        if why is not None:
+            self.refused[why] += 1
+            return 400
+        rate = limits["write_rps"]
+        self._tokens = min(rate, self._tokens + rate * (now - self._tokens_at))
+        self._tokens_at = now
+        if self._tokens < len(body["apply"]):
+            self.refused["rate"] += 1
+            return 429
+        self._tokens -= len(body["apply"])
+        return None
+
     def _txn(self, body: dict, node: str) -> tuple[int, Any]:
         for op in body.get("apply", []):
             if op.get("hold") is not None and op["hold"] not in self.grants:
                 return 400, {"error": "no such lease"}
         limits = self.world.settings.params.state
         body = {"when": [], "apply": []} | body
+        if self.lowered is not None and (status := self._over(body)) is not None:
+            return status, {"error": "beyond the limits"}
         assert len(body["apply"]) <= limits.txn_ops and len(body["when"]) <= 4 * limits.txn_ops
         failed = [c["path"] for c in body["when"] if self.rows.get(c["path"], (0, 0, 0))[1] != c["stamp"]]
         if failed:
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,330 @@
+"""Limits of the state service that are lowered without notice, and what the version in production has written."""
+
+from __future__ import annotations
+
+import json
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from tealhook.fleet.keeper import split_types
+from tealhook.jobs.book import JobRecord, Known, job_key, parse_record
+from tealhook.jobs.commits import Commits
+from tealhook.jobs.job import Attempt, Job, live_key
+from tealhook.jobs.rounds import TeamHome
+from tealhook.settings import SettingsError
+from tealhook.settings.platform import parse_settings
+from tealhook.store import Outcome, Priority, StateClient
+from tealhook.wire import mesh as wire
+from tealhook.wire.cloud import MachineTypes
+from tealhook.wire.common import dumps
+from tealhook.wire.users import JobSpec
+from tests.troubles import mixed_run
+from tests.world import World, calm, settings_text
+
+NEXT = {"write_rps": 21.0, "value_kb": 2.0, "txn_ops": 5}
+LIMIT = int(0.97 * 2 * 1024)
+PRODUCTION = json.loads((Path(__file__).parent / "fixtures" / "production.json").read_text(encoding="utf-8"))
+
+
+# -- settings
+
+
+def test_what_is_written_keeps_to_the_smaller_limits():
+    state = parse_settings("s.toml", settings_text(0, 3, next=NEXT | {"surprise": 1})).params.state
+    assert (state.least.write_rps, state.least.value_kb, state.least.txn_ops) == (21.0, 2.0, 5)
+    assert (state.value_kb, state.txn_ops) == (8.0, 16)
+    state = parse_settings("s.toml", settings_text(0, 3, next={"value_kb": 32.0, "txn_ops": 7})).params.state
+    assert (state.least.write_rps, state.least.value_kb, state.least.txn_ops) == (40.0, 8.0, 7)
+    assert parse_settings("s.toml", settings_text(0, 3)).params.state.least.txn_ops == 16
+
+
+@pytest.mark.parametrize(("coming", "expected"), [
+    ({"txn_ops": 1}, "s.toml: params.state.next.txn_ops: expected at least 2, got 1"),
+    ({"value_kb": 0}, "s.toml: params.state.next.value_kb: expected a number above 0, got 0.0"),
+    ({"write_rps": '"few"'}, "s.toml: params.state.next.write_rps: Expected `float | null`, got `str`"),
+])
+def test_bad_next_limits_name_key_and_expectation(coming, expected):
+    with pytest.raises(SettingsError) as caught:
+        parse_settings("s.toml", settings_text(0, 3, next=coming))
+    assert str(caught.value) == expected
+
+
+# -- what the version in production wrote
+
+
+def _spec(name: str = "req-000001") -> JobSpec:
+    return JobSpec(name, "roster-refresh", "team-0", "array", "standard", 600, 2.0, 5.4)
+
+
+def _read(pieces: dict, order: list[str] | None = None) -> Job:
+    job = Job("req-000001", "team-0", Known(_spec(), "team-0", 41, 0.0), 0.0)
+    for piece in order or pieces:
+        job.load(int(piece), pieces[piece], 5, 0.0)
+    return job
+
+
+def _names(job: Job) -> dict[int, tuple]:
+    return {i: (a.number, a.machine, a.shift, a.zone, a.token) for i, a in job.attempts.items()}
+
+
+def test_live_records_of_production_are_read_whole():
+    wide = _read(PRODUCTION["live_250"])
+    assert sorted(wide.attempts) == list(range(160, 410)) and wide.counter == 250 and wide.done_count == 158
+    assert len({a.machine for a in wide.attempts.values()}) == 250
+    widest = _read(PRODUCTION["live_400"], ["1", "0"])
+    assert sorted(widest.attempts) == list(range(400)) and widest.stamps == {0: 5, 1: 5}
+    assert max(len(dumps(value)) for value in PRODUCTION["live_400"].values()) > 2.5 * LIMIT
+
+
+def test_job_records_ownership_and_types_of_production_are_read():
+    jobs = {name: parse_record(value) for name, value in PRODUCTION["jobs"].items()}
+    assert {name: record.st for name, record in jobs.items()} == {name: name for name in jobs} and len(jobs) == 3
+    assert jobs["active"].s.plays == 600 and jobs["active"].s.pull_gb == 0.9 and jobs["active"].at == 1e9
+    assert set(PRODUCTION["own"]) == {"n", "b", "z"} and int(PRODUCTION["own"]["b"], 16) == (1 << 61) + 5
+    assert msgspec.convert(PRODUCTION["types"], MachineTypes).rigs[0].yards == ["austin-rack"]
+
+
+@pytest.mark.parametrize("name", sorted(PRODUCTION["frames"]))
+def test_frames_of_production_are_read(name):
+    frame = PRODUCTION["frames"][name]
+    envelope = wire.envelope_decoder.decode(bytes.fromhex(frame["hex"]))
+    assert type(envelope.body).__name__ == name and envelope.sender == "n0" and envelope.boot == 5
+    if frame["body"] is not None:
+        body = json.loads(json.dumps(msgspec.to_builtins(envelope.body)))
+        assert all(body[key] == value for key, value in frame["body"].items())
+
+
+# -- a large record is split, step by step
+
+
+def _step(job: Job, durable: dict[int, dict], most: int) -> dict[int, dict]:
+    """One write, as the state service carries it out; every value and their number within limits."""
+    written = job.lay_out(LIMIT, most)
+    assert 0 < len(written) <= most and all(len(dumps(value)) <= LIMIT for value in written.values())
+    job.changed -= written.keys()
+    for piece, value in written.items():
+        if value["m"] or not piece:
+            durable[piece] = value
+            job.stamps[piece] = 6
+        else:
+            durable.pop(piece, None)
+            job.stamps.pop(piece, None)
+    job.move(job.moved, set(written))
+    return written
+
+
+@pytest.mark.parametrize("record", ["live_250", "live_400"])
+@pytest.mark.parametrize("most", [2, 3, 5, 16])
+@pytest.mark.parametrize("takeover", [False, True])
+def test_no_attempt_is_lost_at_any_step_of_a_split(record, most, takeover):
+    """After each write a new owner reads each attempt, whether the pieces are read in order or not."""
+    durable = {int(piece): value for piece, value in PRODUCTION[record].items()}
+    job = _read(durable)
+    before, steps, copies = _names(job), 0, 0
+    while steps == 0 or job.changed or max(len(dumps(value)) for value in durable.values()) > LIMIT:
+        if not job.changed:
+            job.changed |= durable.keys()
+        copies += 0 not in _step(job, durable, most)
+        steps += 1
+        assert steps < 30
+        order = list(durable)
+        random.Random(steps).shuffle(order)
+        again = _read(durable, order)
+        assert _names(again) == before == _names(job) and again.counter == job.counter
+        if takeover:
+            job = again
+    assert all(len(dumps(value)) <= LIMIT for value in durable.values())
+    assert copies > 0 if most < 5 else steps <= 4
+    named = [name for value in durable.values() for part in value["m"].values() for name in part]
+    assert len(named) == len(set(named)) == len(before)  # once each
+
+
+def test_an_attempt_that_ends_while_it_is_copied_is_tidied_everywhere():
+    durable = {int(piece): value for piece, value in PRODUCTION["live_250"].items()}
+    job = _read(durable)
+    written = job.lay_out(LIMIT, 2)
+    assert 0 not in written and job.moved
+    attempt, target = job.moved[0]
+    del job.attempts[attempt.index]
+    job.changed.add(attempt.piece)
+    job.move(job.moved, set(written))
+    assert {0, target} <= job.changed
+
+
+def test_machine_types_that_fit_no_value_go_to_further_ones():
+    rig = PRODUCTION["types"]["rigs"][0]
+    value = {"rigs": [rig | {"name": f"type-{i}"} for i in range(30)]}
+    values = split_types(value, 2048)
+    assert len(values) > 2 and all(len(dumps(part)) <= 2048 for part in values)
+    assert [r for part in values for r in part["rigs"]] == value["rigs"]
+    assert len(dumps(values[0] | {"rigs": [*values[0]["rigs"], values[1]["rigs"][0]]})) > 2048  # as many as fit
+    assert split_types(PRODUCTION["types"], 2048) == [PRODUCTION["types"]]
+
+
+# -- whole deployments
+
+
+def _widest(world: World) -> int:
+    return sum(len(machine.on_machine()) for machine in world.cloud.machines.values())
+
+
+def _only_rate(world: World) -> None:
+    assert set(world.state.refused) <= {"rate"}
+
+
+def test_a_job_of_400_tasks_on_400_machines_keeps_its_width_at_the_lower_limits():
+    world = World(51, limit=9000.0, wps=100.0, next={"value_kb": 2.0, "txn_ops": 5})
+    world.state.lower()
+    world.cloud.room = 220
+    job = world.submit(plain=True, plays=400, vcpus=16.0, memory_gb=33.0, expected_s=200.0, urgency="standard",
+                       loaners=True, yard=None, rigs=None, spread=False, together=False)
+    world.run(75.0)
+    before = {m.name for m in world.cloud.machines.values() if m.on_machine()}
+    assert len(before) > 370  # as many as with 8 KiB: some machines come up late, or never
+    assert sum(key.startswith(f"live/{world.jobs[job].spec['crew']}/{job}") for key in world.state.rows) >= 7
+    for name in world.names:
+        world.crash(name, 0.3)
+    world.run(10.0)
+    assert before <= {m.name for m in world.cloud.machines.values() if m.on_machine()}
+    _only_rate(world)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_rules_hold_when_limits_are_lowered_among_troubles(seed):
+    """Large jobs, crashes, late writes, lost answers; the old records were written within the larger limits."""
+    world = World(seed + 700, limit=1500.0, wps=40.0, next=NEXT)
+    world.cloud.room = 25
+    for node in world.names:  # they write as the version in production does, until they are replaced
+        store = world.nodes[node].store
+        store.txn_ops, store.value_bytes = 16, 8192
+    for i in range(5):
+        world.at(3.0 * i, lambda: world.submit(
+            plain=True, plays=110, vcpus=8.0, expected_s=30.0, urgency="standard", loaners=True, yard=None, rigs=None,
+            spread=False, together=False))
+    world.run(45.0)
+    large = [key for key, row in world.state.rows.items() if key.startswith("live/") and len(dumps(row[0])) > LIMIT]
+    assert large
+    for i, name in enumerate(world.names):
+        world.at(4.0 * i, lambda name=name: world.crash(name, 1.0))
+    world.run(14.0)
+    world.state.lower()
+    world.network.late_writes, world.network.lost_answers = 0.15, 0.1
+    for i in range(4):
+        world.at(8.0 * (i + 1), lambda: world.crash(world.rng.choice(world.names), 0.5))
+    world.run(50.0)
+    calm(world)
+    world.network.calm()
+    assert world.network.happened["late write"] and world.network.happened["answer to a write lost"]
+    world.run(400.0)
+    assert world.unfinished() == []
+    assert not [key for key in world.state.rows if key.startswith("live/")]
+    _only_rate(world)
+
+
+@pytest.mark.parametrize("seed", [81, 82])
+def test_mixed_troubles_at_the_lower_limits(seed):
+    world = mixed_run(seed, next=NEXT, wps=30.0)
+    assert world.unfinished() == [] and world.starts > 0
+
+
+# -- rejected and refused writes
+
+
+def test_a_rejected_write_of_one_job_does_not_hold_up_others(caplog):
+    """Limits that nobody told of: one job's record is rejected however small it is written."""
+    world = World(90)
+    world.cloud.room = 20
+    bad = world.submit(plain=True, plays=3, crew="team-0", urgency="urgent", expected_s=2.0, spread=False, rigs=None)
+    real, rejected = world.state._txn, []
+
+    def txn(body: dict, node: str) -> tuple:
+        if any(f"/{bad}" in op.get("write", "") and op["write"].startswith("live/") for op in body.get("apply", [])):
+            rejected.append((world.now, len(body["apply"])))
+            return 400, {"error": "value too large"}
+        return real(body, node)
+
+    world.state._txn = txn
+    others = [world.submit(plain=True, plays=2, crew="team-0", expected_s=2.0, spread=False, rigs=None)
+              for _ in range(6)]
+    world.run(90.0)
+    assert len(rejected) > 3 and [job for job in others if world.jobs[job].final != "done"] == []
+    late = [when for when, _ in rejected if when > 30.0]
+    assert len(late) <= 8  # it is tried less and less often
+    assert any(bad in record.message and "rejected" in record.message for record in caplog.records)
+    world.state._txn = real
+    world.run(150.0)
+    assert world.unfinished() == []
+
+
+class _Fx:
+    """Effects of one client against a service that answers as it is told to."""
+
+    def __init__(self, answer) -> None:
+        self.time, self.calls, self.timers, self.answer_of = 0.0, [], [], answer
+        self.rng = random.Random(1)
+
+    def now(self) -> float:
+        return self.time
+
+    def later(self, delay, call):
+        self.timers.append((self.time + delay, len(self.timers), call))
+
+    def state(self, method, target, body, timeout, answer) -> None:
+        self.calls.append((self.time, target))
+        answer(self.answer_of(target), b'{"epoch":1}')
+
+    def run(self, until: float) -> None:
+        while due := sorted(timer for timer in self.timers if timer[0] <= until):
+            self.timers.remove(due[0])
+            self.time = max(self.time, due[0][0])
+            due[0][2]()
+        self.time = until
+
+
+def _client(answer) -> tuple[_Fx, StateClient]:
+    fx = _Fx(answer)
+    return fx, StateClient(fx, parse_settings("s.toml", settings_text(0, 1)))
+
+
+def _load(fx: _Fx, store: StateClient, seconds: int) -> int:
+    """Bookkeeping without end, for so long: how many changes were sent."""
+    sent = len(fx.calls)
+    for _ in range(seconds * 50):
+        store.txn({}, [{"drop": "a"}], Priority.KEEP, lambda *_: None, wait=0.1)
+        fx.run(fx.time + 0.02)
+    return len(fx.calls) - sent
+
+
+def test_a_client_slows_down_while_the_budget_is_overused_and_renewals_still_pass_first():
+    status = [200]
+    fx, store = _client(lambda _target: status[0])
+    usual = _load(fx, store, 20)
+    status[0] = 429
+    _load(fx, store, 20)
+    slowed = _load(fx, store, 20)
+    assert 0 < slowed < 0.5 * usual
+    store.txn({}, [{"drop": "k"}], Priority.KEEP, lambda *_: None)
+    store.txn({}, [{"drop": "c"}], Priority.ADMIT, lambda *_: None)
+    store.renew(7, 1.0, lambda _kind: None)
+    sent = len(fx.calls)
+    fx.run(fx.time + 2.0)
+    assert fx.calls[sent][1] == "/grants/7/renew"
+    status[0] = 200
+    _load(fx, store, 90)
+    assert _load(fx, store, 20) > 0.9 * usual
+
+
+@pytest.mark.parametrize(("status", "body", "expected"), [
+    (400, b'{"error":"no such lease"}', Outcome.REFUSED),
+    (400, b'{"error":"value too large"}', Outcome.REJECTED),
+    (429, b"{}", Outcome.REFUSED), (503, b"{}", Outcome.REFUSED), (None, b"", Outcome.UNSURE),
+])
+def test_outcomes_of_a_transaction(status, body, expected):
+    fx, store = _client(None)
+    fx.state = lambda method, target, sent, timeout, answer: answer(status, body)
+    seen = []
+    store.txn({}, [{"drop": "a"}], Priority.RENEW, lambda outcome, *_: seen.append(outcome))
+    assert seen == [expected]
--- a/tests/world.py
+++ b/tests/world.py
@@ -31,7 +31,7 @@
 def settings_text(node: int, nodes: int, **over: Any) -> str:
     """A platform file of a small deployment."""
     values = {"report_s": 1.0, "lease_s": 9.0, "cancel_s": 30.0, "limit": 24.0, "guarantee": 0.0, "wps": 40.0,
-              "value_kb": 8.0, "ready": True} | over
+              "value_kb": 8.0, "ready": True, "next": {}} | over
     known = "".join(
         f'[[known]]\nnode = "n{i}"\ndomain = "za"\nendpoint = "10.0.0.{i + 1}:8081"\n'
         for i in range(nodes) if i != node
@@ -42,6 +42,8 @@
     )
     if values["ready"] and values["guarantee"]:
         teams += '[[params.objectives]]\nkind = "guarantee"\nwithin_s = 5.0\nshare = 0.8\n'
+    coming = "[params.state.next]\n" if values["next"] else ""
+    coming += "".join(f"{name} = {value}\n" for name, value in values["next"].items())
     return f"""
 node = "n{node}"
 domain = "za"
@@ -65,6 +67,7 @@
 write_rps = {values["wps"]}
 value_kb = {values["value_kb"]}
 txn_ops = 16
+{coming}
 [params.cloud]
 rps = 2.0
 list_lag_s = 4.0
