--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -177,7 +177,7 @@
             if outcome is Outcome.OK:
                 self._book.learn(spec.name_id, record, epoch)
                 self._reply_status(201, spec.name_id, ACTIVE, reply)
-            elif outcome is Outcome.REFUSED:
+            elif outcome in (Outcome.REFUSED, Outcome.REJECTED):
                 self._later(reply, "state service unavailable")
             else:
                 # Known already, or nobody knows: read, never guess.
@@ -302,7 +302,7 @@
             if outcome is Outcome.OK:
                 self._book.learn(job, after, epoch)
                 reply(200, dumps(JobStatus(job, CANCELLED)))
-            elif outcome is Outcome.REFUSED or tries <= 0:
+            elif outcome in (Outcome.REFUSED, Outcome.REJECTED) or tries <= 0:
                 self._later(reply, "state service unavailable")
             else:
                 self.cancel(job, reply, tries - 1)  # done meanwhile, or nobody knows: read again
--- a/tealhook/jobs/pipelines.py
+++ b/tealhook/jobs/pipelines.py
@@ -33,6 +33,7 @@
         self._pause = settings.params.workers.report_s / 50
         self._due: dict[str, None] = {}  # held jobs to be looked at
         self._timer = False
+        self._most = store.txn_ops  # cancelled at once; fewer after a write that was too much
         self._busy: set[str] = set()  # being cancelled
         self._reading: set[str] = set()
 
@@ -58,7 +59,7 @@
             if self._book.doomed(job):
                 doomed.append(job)
         self._due.clear()
-        most = self._store.txn_ops
+        most = self._most
         for first in range(0, len(doomed), most):
             self._cancel(doomed[first : first + most])
 
@@ -87,6 +88,8 @@
 
         def done(outcome: Outcome, epoch: int, failed: list[str]) -> None:
             self._busy.difference_update(jobs)
+            if outcome is Outcome.REJECTED:
+                self._most = max(1, len(jobs) // 2)
             again = []
             for job, record in after.items():
                 if outcome is Outcome.OK:
