--- a/tests/world.py
+++ b/tests/world.py
@@ -16,7 +16,7 @@
 from tealhook.http import Request
 from tealhook.settings import Policy, load_policy
 from tealhook.settings.platform import parse_settings
-from tests import users
+from tests import pipelines, users
 from tests.standins import Cloud, StateService, Worker
 
 CALM_ANSWER_S = 75.0  # once all troubles are over, some question about each accepted job is answered in that time
@@ -500,6 +500,10 @@
     def tasks(self) -> list[str]:
         return [f"{self.spec['name_id']}/{i}" for i in range(self.spec["plays"])]
 
+    def needs(self) -> list[str]:
+        """The jobs that it names, each once."""
+        return list(dict.fromkeys(self.spec.get("waits_on") or ()))
+
 
 class World:
     """Seeded: the same seed gives the same run."""
@@ -670,7 +674,8 @@
     def repeat(self, job_id: str, node: str | None = None, other_body: bool = False) -> None:
         """Submit a job, for the first time or again, until it is answered; maybe with a body that could never run."""
         job = self.jobs[job_id]
-        spec = job.spec | {"vcpus": 1e6, "plays": job.spec["plays"] + 1} if other_body else job.spec
+        other = {"vcpus": 1e6, "plays": job.spec["plays"] + 1, "waits_on": ["req-unheard-of"]}
+        spec = job.spec | other if other_body else job.spec
         body = json.dumps(spec).encode()
 
         def answered(status: int | None, data: dict, asked: float) -> None:
@@ -744,8 +749,7 @@
         if job.final is not None and status != job.final and (asked >= job.final_at or status in ("done", "cancelled")):
             raise Broken(f"went_back: {job_id} was {job.final}, now {status}")
         job.accepted, job.accepted_at = True, min(job.accepted_at, self.now)
-        if status == "cancelled" and not job.cancel_wanted:
-            raise Broken(f"went_back: {job_id} cancelled by nobody")
+        pipelines.check_told(self, job, status)
         if status == "done":
             left = [name for name in job.tasks() if name not in self.finished]
             if left:
@@ -801,6 +805,7 @@
         job = self.jobs[job_id]
         self._check_late(machine, key, job)
         job.moved_at = self.now
+        pipelines.check_start(self, key[0], job)
         if job.started_at is None:
             job.started_at = self.now
         spec = job.spec
@@ -855,6 +860,8 @@
                 used[job.spec["crew"]] = used.get(job.spec["crew"], 0.0) + job.spec["vcpus"]
                 if job.cancelled_at is not None and self.now > job.cancelled_at + cancel_s:
                     raise Broken(f"ran_cancelled: {play} on {machine.name}")
+                if pipelines.orphaned(self, job):
+                    raise Broken(f"orphaned: {play} on {machine.name}")
         self._pulling = pulling
         for team, cpus in used.items():
             if cpus > self.settings.params.teams[0].cpus_max + 1e-6:
@@ -896,6 +903,9 @@
         for job_id, job in self.jobs.items():
             if not job.accepted or job.final is not None or job.cancel_wanted or job.wrong:
                 continue
+            if pipelines.held(self, job):
+                job.moved_at = self.now
+                continue
             zones = held.get(job_id, {})
             waiting = [name for name in job.tasks() if name not in self.finished and name not in zones]
             under = taken.get(job.spec["crew"], 0.0) + job.spec["vcpus"] <= limit + 1e-6
