--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,10 +10,8 @@
 import pytest
 
 from tealhook.fleet.keeper import split_types
-from tealhook.jobs.book import JobRecord, Known, job_key, parse_record
-from tealhook.jobs.commits import Commits
-from tealhook.jobs.job import Attempt, Job, live_key
-from tealhook.jobs.rounds import TeamHome
+from tealhook.jobs.book import Known, parse_record
+from tealhook.jobs.job import Job
 from tealhook.settings import SettingsError
 from tealhook.settings.platform import parse_settings
 from tealhook.store import Outcome, Priority, StateClient
