--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -56,7 +56,7 @@
         done, running = self._progress.get(job, (0, 0))
         return dumps(JobStatus(job, "running" if running else "pending", done, running))
 
-    def _reply_status(self, code: int, job: str, status: str, reply: Reply) -> None:
+    def _reply_status(self, code: int, job: str, status: str, reply: Reply, *, read: bool = True) -> None:
         """Answer with a status that was read, or learned since.
 
         A job that waits for others may have been cancelled with one of them, which its own record does not say at
@@ -69,6 +69,10 @@
         elif self._book.doomed(job):
             self.cancel(job, lambda status, body, after=None: reply(
                 code if status == 200 else status, body, after), asked=False)
+        elif read and (unknown := self._book.unknown(job)[:MOST_READS]):
+            # Over so long that they are not remembered, or not heard of yet.
+            self._read_names(unknown, lambda _found: self._reply_status(
+                code, job, self._book.status(job) or status, reply, read=False))
         elif known.missing or self._book.unknown(job) or self._book.watcher.age() > self._old_view_s:
             self._later(reply, "not known at present")
         else:
@@ -126,13 +130,8 @@
         if not unknown:
             self._accept(spec, reply)
             return
-        found: list[str] = []
 
-        def read(name: str, kind: str, row: state_wire.Row | None) -> None:
-            known = self._newest(name, kind, row) is not None
-            found.append("known" if known else kind)
-            if len(found) < len(unknown):
-                return
+        def looked_up(found: list[str]) -> None:
             if "absent" in found:
                 self._answer_known(spec.name_id, reply, (422, "waits_on: names a job that was never accepted"))
             elif found.count("known") < len(found):
@@ -140,7 +139,18 @@
             else:
                 self._accept_after_names(spec, reply)
 
-        for name in unknown:
+        self._read_names(unknown, looked_up)
+
+    def _read_names(self, names: list[str], then: Callable[[list[str]], None]) -> None:
+        """Read the records of jobs that a job waits for; `then` is told of each: known, absent or unknown."""
+        found: list[str] = []
+
+        def read(name: str, kind: str, row: state_wire.Row | None) -> None:
+            found.append("known" if self._newest(name, kind, row) is not None else kind)
+            if len(found) == len(names):
+                then(found)
+
+        for name in names:
             self._store.get(
                 job_key(name), lambda kind, row, name=name: read(name, kind, row), Priority.ADMIT, LONGEST_WAIT_S,
                 READ_TIMEOUT_S,
