--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -113,31 +113,39 @@
             return
         if self._busy(Priority.ADMIT, reply):
             return
+        record: JobRecord | None = None
         if spec is not None:
+            record = JobRecord(spec.crew, ACTIVE, spec, round(self._fx.wall(), 1))
             why = self._never(spec)
-            refusal = (422, why) if why is not None else None
+            if why is not None:
+                refusal = (422, why)
+            elif self._too_large(self._records(record)):
+                refusal = (400, "too large to be kept")
         undecided = not self._types or spec is not None and spec.waits_on and not self._versions.all_new
-        if spec is None or refusal is not None or undecided or job in self._book.active:
+        if record is None or refusal is not None or undecided or job in self._book.active:
             # Whether it was accepted earlier comes first: what is known of teams and types may change.
             # An active job is read too: by now it may have ended.
             self._answer_known(job, reply, refusal)
             return
-        self._accept_after_names(spec, reply)
+        self._accept_after_names(record, reply, set())
 
-    def _accept_after_names(self, spec: JobSpec, reply: Reply) -> None:
+    def _accept_after_names(self, record: JobRecord, reply: Reply, read: set[str]) -> None:
         """Accept a job once each job that it names is known to have been accepted; those not known here are read."""
-        unknown = [name for name in spec.waits_on if self._book.status(name) is None][:MOST_READS]
+        unknown = [
+            name for name in record.s.waits_on if name not in read and self._book.status(name) is None
+        ][:MOST_READS]
+        read.update(unknown)
         if not unknown:
-            self._accept(spec, reply)
+            self._accept(record, reply)
             return
 
         def looked_up(found: list[str]) -> None:
             if "absent" in found:
-                self._answer_known(spec.name_id, reply, (422, "waits_on: names a job that was never accepted"))
+                self._answer_known(record.s.name_id, reply, (422, "waits_on: names a job that was never accepted"))
             elif found.count("known") < len(found):
                 self._later(reply, "not decided yet")
             else:
-                self._accept_after_names(spec, reply)
+                self._accept_after_names(record, reply, read)
 
         self._read_names(unknown, looked_up)
 
@@ -156,8 +164,13 @@
                 READ_TIMEOUT_S,
             )
 
-    def _records(self, spec: JobSpec, at: float) -> list[tuple[str, dict]]:
+    def _too_large(self, records: list[tuple[str, dict]]) -> bool:
+        sizes = [len(dumps(value)) for _, value in records]
+        return max(sizes) > self._store.value_bytes or len(sizes) > self._store.txn_ops or sum(sizes) > TXN_BYTES
+
+    def _records(self, job: JobRecord) -> list[tuple[str, dict]]:
         """The records of a new job with their keys: its own, and those that go on with the names it waits for."""
+        spec = job.s
         limit, key = int(RECORD_SHARE * self._store.value_bytes), job_key(spec.name_id)
         names = [(name, len(dumps(name)) + 1) for name in spec.waits_on]
 
@@ -170,7 +183,7 @@
             del names[:taken]
             return part
 
-        record = JobRecord(spec.crew, ACTIVE, msgspec.structs.replace(spec, waits_on=[]), at)
+        record = JobRecord(job.t, job.st, msgspec.structs.replace(spec, waits_on=[]), job.at)
         bare = len(dumps(msgspec.to_builtins(record))) + len(b',"waits_on":[],"more":100')
         record.s.waits_on = take(limit - bare)
         further: list[tuple[str, dict]] = []
@@ -179,29 +192,22 @@
         record.more = len(further)
         return [(key, msgspec.to_builtins(record)), *further]
 
-    def _accept(self, spec: JobSpec, reply: Reply) -> None:
-        record = JobRecord(spec.crew, ACTIVE, spec, round(self._fx.wall(), 1))
-        key = job_key(spec.name_id)
+    def _accept(self, record: JobRecord, reply: Reply) -> None:
+        job = record.s.name_id
 
         def done(outcome: Outcome, epoch: int, _failed: list[str]) -> None:
             if outcome is Outcome.OK:
-                self._book.learn(spec.name_id, record, epoch)
-                self._reply_status(201, spec.name_id, ACTIVE, reply)
+                self._book.learn(job, record, epoch)
+                self._reply_status(201, job, ACTIVE, reply)
             elif outcome in (Outcome.REFUSED, Outcome.REJECTED):
                 self._later(reply, "state service unavailable")
             else:
                 # Known already, or nobody knows: read, never guess.
-                self._answer_known(spec.name_id, reply, None)
+                self._answer_known(job, reply, None)
 
-        records = self._records(spec, record.at)
-        size = sum(len(dumps(value)) for _, value in records)
-        too_large = any(len(dumps(value)) > self._store.value_bytes for _, value in records)
-        if too_large or len(records) > self._store.txn_ops or size > TXN_BYTES:
-            self._answer_known(spec.name_id, reply, (400, "too large to be kept"))
-            return
         self._store.txn(
-            {key: 0}, [state_wire.put(path, value) for path, value in records], Priority.ADMIT, done, LONGEST_WAIT_S,
-            READ_TIMEOUT_S,
+            {job_key(job): 0}, [state_wire.put(path, value) for path, value in self._records(record)], Priority.ADMIT,
+            done, LONGEST_WAIT_S, READ_TIMEOUT_S,
         )
 
     def _answer_known(self, job: str, reply: Reply, refusal: tuple[int, str] | None) -> None:
--- a/tests/test_waits_on.py
+++ b/tests/test_waits_on.py
@@ -1,8 +1,10 @@
 """A job that waits for others: held until they are done, cancelled with them."""
 
+import json
+
 import pytest
 
-from tests.world import World
+from tests.world import World, make_request
 
 ALIKE = {"plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
          "urgency": "standard", "vcpus": 2.0, "shape": "array"}
@@ -38,3 +40,40 @@
     world.run(10.0)
     assert [world.jobs[job].final for job in jobs] == ["cancelled"] * 4
     assert all(world.jobs[job].started_at is None for job in jobs[1:])
+
+
+def _submitted(world: World, spec: dict) -> tuple[int, dict]:
+    answers: list[tuple[int, dict]] = []
+    world.nodes["n0"].on_request(
+        make_request("POST", "/work", json.dumps(spec).encode()),
+        lambda status, data=b"{}", after=None: answers.append((status, json.loads(data))),
+    )
+    at = world.now
+    world.run(1.5)
+    assert len(answers) == 1 and world.now < at + 2.0
+    return answers[0]
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_a_list_too_long_to_be_kept_is_refused_at_once_and_one_that_fits_is_kept(known):
+    world = World(2, next={"value_kb": 1.0, "txn_ops": 2})
+    world.run(20.0)
+    first = world.submit(plays=1, expected_s=200.0, **ALIKE)
+    world.run(3.0)
+    book = world.nodes["n0"].book
+    names = [f"req-9{i:05d}" for i in range(300)]
+    if known:  # as if each had been accepted before
+        for name in names:
+            for node in world.nodes.values():
+                node.book.active[name] = node.book.active[first]
+    spec = world.spec("req-long") | ALIKE | {"plays": 1}
+    del spec["plain"]
+    assert _submitted(world, spec | {"waits_on": [first, *names]})[0] == 400
+    assert "job/req-long" not in world.state.rows
+    if known:
+        world.jobs["req-long"] = world.jobs[first]  # its user: the checker asks nothing of it
+        assert _submitted(world, spec | {"waits_on": [first, *names[:100]]})[0] == 201
+        rows = [row[0] for key, row in world.state.rows.items() if key.startswith("job/req-long")]
+        assert len(rows) == 2 and rows[0]["more"] == 1
+        assert rows[0]["s"]["waits_on"] + rows[1]["w"] == [first, *names[:100]]
+        assert book.held("req-long")
