--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -331,7 +331,6 @@
     def _remove(self, home: TeamHome, job: Job, attempt: Attempt) -> None:
         """The attempt is certainly not on its machine any more."""
         del job.attempts[attempt.index]
-        job.moved_at = self._fx.now()
         job.changed.add(attempt.piece)
         self._unplace(home, job, attempt)
         self.commits.off.setdefault(job.id, set()).add((attempt.index, attempt.number))
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -86,7 +86,6 @@
         self.since = now  # when it was first seen here
         self.over_since: float | None = None  # since when its tasks have to go: it was cancelled
         self.waiting_since = now
-        self.moved_at = -1e9  # when a task of it was last placed, or was last off its machine
         self.soft = False  # something changed that need not be durable at once
         self.soft_at = 0.0
         self.committing = False
--- a/tealhook/jobs/rounds.py
+++ b/tealhook/jobs/rounds.py
@@ -189,8 +189,8 @@
 
     @staticmethod
     def _overdue(job: Job, now: float, hold_age: float) -> bool:
-        """Whether a job has waited for long with no task on any machine: it has not begun, or has come to a stand."""
-        return now - max(job.since, job.moved_at) > hold_age and not (job.attempts or job.staged)
+        """Whether a job has waited for long and has not begun at all."""
+        return now - job.since > hold_age and not (job.done_count or job.attempts or job.staged)
 
     def _speak_for(self, home: TeamHome, now: float, hold_age: float) -> None:
         """Keep what overdue jobs need of the team's limit, one task each, until there is enough of it.
@@ -373,5 +373,4 @@
             attempt.rid = slot.rid
             attempt.placed = Placed(now, slot.fetch_s, job.spec.expected_s)
             job.staged[index] = attempt
-            job.moved_at = now
         return len(indexes)
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -4,7 +4,6 @@
 
 from tealhook.jobs import rounds
 from tealhook.jobs.book import Known
-from tealhook.jobs.job import Attempt, Job
 from tealhook.parts.machine import Held, Machine
 from tealhook.parts.room import Room
 from tealhook.settings.platform import Objective
@@ -97,19 +96,6 @@
     assert _secured([100, 126, 1]) == [True, False, False]
 
 
-def test_a_job_that_has_come_to_a_stand_is_overdue_as_one_that_has_not_begun():
-    world = World(1, nodes=1)
-    spec = parse_job(json.dumps(world.spec("req-000001") | {"plays": 4}).encode())
-    job = Job("req-000001", "team-0", Known(spec, "team-0", 1, 0.0), 0.0)
-    overdue = rounds.Rounds._overdue
-    assert [overdue(job, now, 80.0) for now in (79.0, 81.0)] == [False, True]
-    job.mark_done(0)
-    job.moved_at = 50.0  # then its task ended
-    assert [overdue(job, now, 80.0) for now in (81.0, 129.0, 131.0)] == [False, False, True]
-    job.attempts[1] = Attempt(1, 1, "host-1", 1, "za", 1, 60.0)
-    assert not overdue(job, 500.0, 80.0)
-
-
 def _team_at_its_limit() -> SimJob:
     """Small tasks keep a team at its limit; a job of larger ones comes among them, and machines have room for it."""
     world = World(5, limit=16.0, ready=False, guarantee=16.0)
