--- a/tealhook/fleet/keeper.py
+++ b/tealhook/fleet/keeper.py
@@ -136,8 +136,9 @@
 
     def _read_types(self) -> None:
         def done(rows: list[state_wire.Row] | None, _epoch: int) -> None:
-            if not self._types:
-                self._take_types([row.v for row in rows or ()])
+            # Without the first they are not complete yet.
+            if not self._types and rows and any(row.path == TYPES_KEY for row in rows):
+                self._take_types([row.v for row in rows])
             if not self._types:
                 self._fx.later(0.3, self._read_types)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -140,6 +140,19 @@
     assert len(named) == len(set(named)) == len(before)  # once each
 
 
+@pytest.mark.parametrize("order", [["0", "1", "2", "3"], ["3", "2", "1", "0"]])
+def test_a_new_owner_goes_on_with_a_split_where_the_old_one_stopped(order):
+    """What has been copied stays in the copies, and the large record is marked to be written without it."""
+    durable = {int(piece): value for piece, value in PRODUCTION["live_400"].items()}
+    job = _read(durable)
+    written = _step(job, durable, 2)
+    assert written.keys() == {2, 3}
+    again = _read({str(piece): value for piece, value in durable.items()}, order)
+    assert again.changed == {0}
+    copied = {index for index, attempt in again.attempts.items() if attempt.piece in written}
+    assert copied == {index for index, attempt in job.attempts.items() if attempt.piece in written} and copied
+
+
 def test_an_attempt_that_ends_while_it_is_copied_is_tidied_everywhere():
     durable = {int(piece): value for piece, value in PRODUCTION["live_250"].items()}
     job = _read(durable)
@@ -162,6 +175,21 @@
     assert split_types(PRODUCTION["types"], 2048) == [PRODUCTION["types"]]
 
 
+@pytest.mark.parametrize("first", [True, False])
+def test_machine_types_are_read_from_all_values_once_the_first_is_there(first):
+    world = World(91)
+    rigs = world.cloud.rigs
+    world.cloud.rigs = []  # they come from the records alone
+    values = {"fleet/types": {"rigs": rigs[:1]}, "fleet/types/1": {"rigs": rigs[1:]}}
+    for key, value in values.items():
+        if first or key != "fleet/types":
+            world.state.rows[key] = (value, 1, None)
+    world.cloud.down = True
+    world.run(5.0)
+    for node in world.nodes.values():
+        assert sorted(node._types) == (["large", "small"] if first else [])
+
+
 # -- whole deployments
 
 
