--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -81,8 +81,8 @@
     jobs = {name: parse_record(value) for name, value in PRODUCTION["jobs"].items()}
     assert {name: record.st for name, record in jobs.items()} == {name: name for name in jobs} and len(jobs) == 3
     assert jobs["active"].s.plays == 600 and jobs["active"].s.pull_gb == 0.9 and jobs["active"].at == 1e9
-    assert set(PRODUCTION["own"]) == {"n", "b", "z"} and int(PRODUCTION["own"]["b"], 16) == (1 << 61) + 5
-    assert msgspec.convert(PRODUCTION["types"], MachineTypes).rigs[0].yards == ["austin-rack"]
+    assert set(PRODUCTION["own"]) == {"n", "b", "z"} and int(PRODUCTION["own"]["b"], 16) == 0x38538D0EA8C72DB3
+    assert msgspec.convert(PRODUCTION["types"], MachineTypes).rigs[0].yards == ["za", "zb"]
 
 
 @pytest.mark.parametrize("name", sorted(PRODUCTION["frames"]))
