--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -106,7 +106,7 @@
 
     small()
     world.run(30.0)
-    large = world.jobs[world.submit(crew="team-0", urgency="standard", plays=2, vcpus=8.0, expected_s=10.0, **ALIKE)]
+    large = world.jobs[world.submit(crew="team-0", urgency="standard", plays=2, vcpus=14.0, expected_s=10.0, **ALIKE)]
     world.run(200.0)
     return large
 
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -51,7 +51,7 @@
         whole(self, method, target, body, timeout, answer)
 
     monkeypatch.setattr(SimEffects, "cloud", cloud)
-    for seed in range(6, 9):
+    for seed in range(11, 14):
         world = _busy(seed)
         for _ in range(3):
             owner = next(name for name, node in world.nodes.items() if node.ownership.mine(FLEET))
