--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -10,6 +10,8 @@
 
 from tealhook.parts.keeper import PartKeeper
 from tealhook.parts.part import DRIFT
+from tealhook.wire import mesh
+from tealhook.wire import workers as wire
 from tests.world import Broken, SimEffects, World
 
 ALIKE = {"plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
@@ -116,6 +118,30 @@
         _gap(0, monkeypatch)
 
 
+def test_nothing_is_launched_on_an_old_view_of_cancellations():
+    """A node refused alone is still told to launch by homes that are served; a grant later it starts nothing more."""
+    world = World(2)
+    world.submit(plays=2, expected_s=200.0, **ALIKE)
+    world.run(30.0)
+    node = world.nodes[_leader(world)]
+    part = max(node.parts.parts.values(), key=lambda part: len(part.machines))
+    slot = part.room.reserve(mesh.Reserve(part.zone, [mesh.Want(
+        "req-x", "team-0", mesh.Shape(1.0, 0.0, 1.0, "", 0.0, True, (), 1, 5.0), 1, False, False, [], 10**9, False,
+        False,
+    )])).slots[0][0]
+    machine = part.machines[slot.machine]
+    part.launch(mesh.Launch(part.zone, part.token, "team-0", 10**9, [mesh.Start(slot.rid, "req-x", 0, 1)]))
+
+    def launches() -> int:
+        return sum(order.verb == wire.LAUNCH for order in part._orders(machine))
+
+    assert launches() == 1
+    viewed_at, node.book.watcher.viewed_at = node.book.watcher.viewed_at, node._fx.now() - 1.1 * node.ownership.ttl_s
+    assert launches() == 0
+    node.book.watcher.viewed_at = viewed_at
+    assert launches() == 1
+
+
 @pytest.mark.parametrize(("report_s", "lease_s", "cancel_s"), [(1.0, 9.0, 30.0), (1.0, 11.0, 36.0), (3.0, 21.0, 46.0)])
 def test_the_chain_from_a_view_to_the_end_of_a_lease_fits(report_s, lease_s, cancel_s):
     """With the worst of each figure: a report sent just before its answer, and nothing said to its worker since."""
--- a/tests/test_meetings_view.py
+++ b/tests/test_meetings_view.py
@@ -68,3 +68,21 @@
     ]
     assert dropped == []  # what is done of an active job, and how often it was tried, is on record
     assert world.jobs[job].final == "done"
+
+
+def test_an_active_job_that_was_taken_for_ended_is_read_anew():
+    """Whatever led to it: its home is read again, and the job runs to its end."""
+    world = World(4)
+    world.run(20.0)
+    job = world.submit(plays=4, expected_s=20.0, **ALIKE)
+    world.run(8.0)
+    keeper = world.nodes[world.state.rows[HOME][0]["n"]].homes
+    before = keeper.homes["team-0"]
+    assert before.jobs[job].attempts
+    before.jobs[job].spec = None
+    keeper.job_changed(job)
+    assert keeper.homes["team-0"] is not before
+    world.run(1.0)
+    assert keeper.homes["team-0"].jobs[job].spec is not None and keeper.homes["team-0"].jobs[job].attempts
+    world.run(90.0)
+    assert world.jobs[job].final == "done"
