--- a/tests/test_meetings_net.py
+++ b/tests/test_meetings_net.py
@@ -5,11 +5,9 @@
 
 import pytest
 
-from tealhook.jobs.commits import Commits
-from tealhook.jobs.homes import HomeKeeper, TeamHome
 from tealhook.parts.part import Part
-from tealhook.store import Outcome
 from tests.standins import Worker
+from tests.test_guards import _break_proof, _guess_commits, _no_limit
 from tests.troubles import (
     KINDS,
     all_calm,
@@ -386,19 +384,6 @@
 # -- each guard, broken on purpose
 
 
-def _guess_commits(patch):
-    whole = Commits._committed
-
-    def guess(self, batch, outcome, epoch, failed):
-        whole(self, batch, Outcome.OK if outcome is Outcome.UNSURE else outcome, epoch, failed)
-
-    patch.setattr(Commits, "_committed", guess)
-
-
-def _break_proof(patch):
-    patch.setattr(HomeKeeper, "_proves_absence", staticmethod(lambda attempt, news: True))
-
-
 def _trust_any_report(patch):
     whole = Part.on_report
 
@@ -412,10 +397,6 @@
     patch.setattr(Part, "on_report", on_report)
 
 
-def _no_limit(patch):
-    patch.setattr(TeamHome, "taken", lambda self, which=0: 0.0)
-
-
 @pytest.mark.parametrize("run, break_it, rule", [
     (_late_writes, _guess_commits, ""),
     (_late_writes, _break_proof, "ran_twice"),
--- a/tests/test_meetings_users.py
+++ b/tests/test_meetings_users.py
@@ -12,6 +12,7 @@
 from tealhook.jobs.rounds import Rounds
 from tests import users
 from tests.standins import Worker
+from tests.test_guards import _answer_from_memory
 from tests.users import PLAIN
 from tests.world import Broken, World
 
@@ -63,15 +64,7 @@
 
 
 def test_answers_from_memory_are_found_out_by_close_looks(monkeypatch):
-    whole = Admission.show
-
-    def show(self, job, reply):
-        if job in self._book.active:
-            reply(200, self._status_body(job, "active"))
-        else:
-            whole(self, job, reply)
-
-    monkeypatch.setattr(Admission, "show", show)
+    _answer_from_memory(monkeypatch)
     with pytest.raises(Broken, match="went_back"):
         for seed in SEEDS:
             _close_looks(seed)
