--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -154,10 +154,9 @@
             return
 
         def read(kind: str, row: state_wire.Row | None) -> None:
-            record = parse_record(row.v) if row is not None else None
-            if record is not None:
-                self._book.learn(job, record, row.stamp)
-                reply(200, self._status_body(job, record.st))
+            status = self._newest(job, kind, row)
+            if status is not None:
+                reply(200, self._status_body(job, status))
             elif kind == "absent":
                 reply(404, error_body("no such job"))
             else:
@@ -165,6 +164,20 @@
 
         self._store.get(job_key(job), read, Priority.ADMIT, LONGEST_WAIT_S, READ_TIMEOUT_S)
 
+    def _newest(self, job: str, kind: str, row: state_wire.Row | None) -> str | None:
+        """The status by a read, or by what has been learned while its answer was on the way: that is newer.
+
+        A user who was told meanwhile by another node that the job is accepted or over must not hear otherwise here.
+        Without a read nothing is known: what stands in memory may be old.
+        """
+        if kind == "unknown":
+            return None
+        record = parse_record(row.v) if row is not None else None
+        if record is not None:
+            self._book.learn(job, record, row.stamp)
+        known = self._book.status(job)
+        return known if known is not None else record.st if record is not None else None
+
     # -- cancellations
 
     def cancel(self, job: str, reply: Reply, tries: int = 3) -> None:
@@ -185,7 +198,7 @@
                 reply(200, dumps(JobStatus(job, record.st)))
             elif record is not None:
                 self._cancel(job, record, row.stamp, reply, tries)
-            elif kind == "absent":
+            elif kind == "absent" and self._book.status(job) is None:
                 reply(404, error_body("no such job"))
             else:
                 self._later(reply, "state service unavailable")
@@ -193,7 +206,7 @@
         self._store.get(job_key(job), read, Priority.ADMIT, LONGEST_WAIT_S, READ_TIMEOUT_S)
 
     def _cancel(self, job: str, record: JobRecord, stamp: int, reply: Reply, tries: int) -> None:
-        after = JobRecord(record.t, CANCELLED)
+        after = JobRecord(record.t, CANCELLED, at=round(self._fx.wall(), 1))
 
         def done(outcome: Outcome, epoch: int, _failed: list[str]) -> None:
             if outcome is Outcome.OK:
--- a/tealhook/jobs/book.py
+++ b/tealhook/jobs/book.py
@@ -28,7 +28,7 @@
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
-    """The value of `job/<id>`: team, status, and the submission and when it was accepted while it is active."""
+    """The value of `job/<id>`: team, status, when it was accepted (or cancelled), and the submission while active."""
 
     t: str
     st: str
@@ -63,7 +63,7 @@
     def __init__(self, effects: Effects, settings: Settings, store: StateClient) -> None:
         self._fx = effects
         self.active: dict[str, Known] = {}
-        self.ended: OrderedDict[str, tuple[str, str]] = OrderedDict()  # id -> (status, team)
+        self.ended: OrderedDict[str, tuple[str, str, float]] = OrderedDict()  # id -> (status, team, time of day)
         self.listener: Callable[[str], Any] = lambda job: None
         self.on_synced: Callable[[], Any] = lambda: None
         self.watcher = Watcher(
@@ -91,13 +91,18 @@
         ended = self.ended.get(job)
         return ended[1] if ended else None
 
+    def cancelled_for(self, job: str) -> float:
+        """Seconds since an ended job was cancelled, whoever cancelled it; 0 where that is not on record."""
+        at = self.ended[job][2] if job in self.ended else 0.0
+        return max(0.0, self._fx.wall() - at) if at > 0 else 0.0
+
     def learn(self, job: str, record: JobRecord, stamp: int) -> None:
         """Take over a record read or written by this node."""
         if job in self.ended:
             return
         if record.st != ACTIVE:
             self.active.pop(job, None)
-            self.ended[job] = (record.st, record.t)
+            self.ended[job] = (record.st, record.t, record.at)
             while len(self.ended) > MAX_ENDED:
                 self.ended.popitem(last=False)
             self.listener(job)
--- a/tealhook/jobs/homes.py
+++ b/tealhook/jobs/homes.py
@@ -27,6 +27,9 @@
 
 log = logging.getLogger("tealhook.jobs")
 
+PRESSING = (0.4, 0.7)  # of the time that a cancelled task has: a silent machine is waited for less and less
+
+
 
 class HomeKeeper:
     """All homes that this node owns."""
@@ -105,6 +108,7 @@
             log.info("home %s: %d jobs", home.team, len(home.jobs))
             for job in home.jobs.values():
                 if job.spec is None:
+                    job.over_since = now - self._book.cancelled_for(job.id)
                     self.stop_all(home, job)
             self.look(home)
             self.rounds.wake()
@@ -137,6 +141,7 @@
             return
         if job is not None and job.spec is not None:
             job.spec = None  # terminal: nothing of it starts any more
+            job.over_since = self._fx.now() - self._book.cancelled_for(job_id)
             self.stop_all(home, job)
             self.end_if_clear(home, job)
 
@@ -342,12 +347,15 @@
     def _looked(self, home: TeamHome, names: list[str], asked: float, reply: Any) -> None:
         if not isinstance(reply, wire.LookReply) or self.homes.get(home.team) is not home:
             return
+        now = self._fx.now()
         fence_s = self._policy.value("fence_s", self._variables())
         # A worker that is up has been heard of again by then, be it by way of another node; when many are silent
         # at once it is rather the way to them that is cut, and they may come back with all their tasks.
-        silence_s = min(fence_s, 2 * self._workers.report_s + UNANSWERED_S) if reply.lone else fence_s
+        alone_s = min(fence_s, 2 * self._workers.report_s + UNANSWERED_S)
+        silence_s = alone_s if reply.lone else fence_s
         lost = []
         for name, silent in zip(names, reply.silent, strict=False):
+            patience_s = silence_s
             for _team, job_id, index in sorted(self._on_machine.get(name, ())):
                 job = home.jobs.get(job_id)
                 attempt = job.attempts.get(index) if job else None
@@ -355,12 +363,26 @@
                     continue
                 if attempt.ack_seq is None and attempt.token == reply.token and asked > attempt.open_until:
                     attempt.ack_seq = reply.seq
-            if (silent if silent >= 0 else reply.owned_s) > silence_s:
+                if job.over_since is not None:
+                    patience_s = min(patience_s, self._patience(now - job.over_since, silence_s, alone_s))
+            if (silent if silent >= 0 else reply.owned_s) > patience_s:
                 lost.append(name)
         owner = self._own.owner(FLEET)
         if lost and owner is not None:
             self._mesh.send(owner, wire.Fence(lost))
 
+    def _patience(self, cancelled_s: float, silence_s: float, alone_s: float) -> float:
+        """How long a machine may be silent that may hold a task cancelled so many seconds ago.
+
+        One that hangs keeps it until it is released. Each new owner of the part begins to count the silence anew, so
+        that while owners change nothing would come of it in time.
+        """
+        first, last = (share * self._workers.cancel_s for share in PRESSING)
+        if cancelled_s < first:
+            return silence_s
+        left = max(0.0, (last - cancelled_s) / (last - first))
+        return self._workers.report_s + left * (alone_s - self._workers.report_s)
+
     def _tidy(self) -> None:
         now = self._fx.now()
         for home in self.homes.values():
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -74,6 +74,7 @@
         self._next_fresh = 0
         self._returned: list[int] = []
         self.since = now  # when it was first seen here
+        self.over_since: float | None = None  # since when its tasks have to go: it was cancelled
         self.waiting_since = now
         self.soft = False  # something changed that need not be durable at once
         self.soft_at = 0.0
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,75 @@
+"""Answers about a job while other nodes change it: none is older than what this node has learned meanwhile."""
+
+import json
+
+import pytest
+
+from tests.world import World, make_request
+
+ALIKE = {"plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
+         "urgency": "standard", "vcpus": 2.0, "shape": "array"}
+
+
+def _slow_reads(world: World, node: str, seconds: float) -> None:
+    """Reads of one node are carried out at once, and their answers come late."""
+    whole = world.state.handle
+
+    def handle(who, method, target, body, answer):
+        if who == node and target.startswith("/store/job/"):
+            whole(who, method, target, body, lambda status, data: world.at(seconds, lambda: answer(status, data)))
+        else:
+            whole(who, method, target, body, answer)
+
+    world.state.handle = handle
+
+
+def _ask(world: World, node: str, method: str, target: str, body: bytes = b"") -> list[tuple[int, dict]]:
+    answers: list[tuple[int, dict]] = []
+    world.nodes[node].on_request(make_request(method, target, body), lambda status, data=b"{}", after=None: (
+        answers.append((status, json.loads(data)))))
+    return answers
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_a_read_overtaken_by_a_cancellation_tells_of_it(seed):
+    world = World(seed)
+    world.run(20.0)
+    job = world.submit(plays=2, expected_s=100.0, **ALIKE)
+    world.run(10.0)
+    _slow_reads(world, "n0", 0.8)
+    late = _ask(world, "n0", "GET", f"/work/{job}")
+    world.run(0.05)
+    world.jobs[job].cancel_wanted = True
+    told = _ask(world, "n1", "POST", f"/work/{job}/abort")
+    world.run(0.6)
+    assert [status for status, _ in told] == [200] and told[0][1]["status"] == "cancelled"
+    assert late == []
+    world.run(1.0)
+    assert late[0][0] == 200 and late[0][1]["status"] == "cancelled"
+
+
+@pytest.mark.parametrize("request_", ["show", "abort"])
+def test_a_read_overtaken_by_an_admission_is_no_404(request_):
+    world = World(3)
+    world.run(20.0)
+    _slow_reads(world, "n0", 0.8)
+    job = f"req-{len(world.jobs):06d}"
+    late = _ask(world, "n0", "GET" if request_ == "show" else "POST", f"/work/{job}" + (
+        "" if request_ == "show" else "/abort"))
+    world.run(0.05)
+    assert world.submit(plays=2, expected_s=100.0, **ALIKE) == job
+    world.run(0.6)
+    assert world.jobs[job].accepted and late == []
+    world.run(1.0)
+    assert late and late[0][0] in ((200,) if request_ == "show" else (200, 503))
+
+
+def test_without_a_read_nothing_is_answered_from_memory():
+    world = World(4)
+    world.run(20.0)
+    job = world.submit(plays=2, expected_s=100.0, **ALIKE)
+    world.run(5.0)
+    world.state.outage(True)
+    late = _ask(world, "n0", "GET", f"/work/{job}")
+    world.run(3.0)
+    assert late[0][0] == 503
--- /dev/null
+++ b/tests/test_cancellations.py
@@ -0,0 +1,45 @@
+"""Cancelled tasks must go in time, also off machines that hang while owners change."""
+
+import pytest
+
+from tealhook.jobs.homes import HomeKeeper
+from tealhook.store import part_key
+from tests.world import Broken, World
+
+ALIKE = {"plain": True, "yard": None, "rigs": None, "spread": False, "together": False, "loaners": True,
+         "urgency": "standard", "vcpus": 2.0, "shape": "array"}
+
+
+def _hung_while_owners_change(seed: int) -> tuple[World, int]:
+    """Machines with cancelled tasks hang, and their parts' owners end again and again; how often."""
+    world = World(seed, limit=64.0)
+    jobs = [world.submit(plays=4, expected_s=300.0, **ALIKE) for _ in range(4)]
+    world.run(40.0)
+    hung = [worker for worker in world.cloud.machines.values() if worker.on_machine()]
+    assert hung
+    for worker in hung:
+        worker.hung = True
+    for job in jobs:
+        world.cancel(job)
+    ends = 0
+    for _ in range(5):
+        world.run(9.5)
+        for owner in {world.state.rows[part_key(w.yard)][0]["n"] for w in hung if part_key(w.yard) in world.state.rows}:
+            world.crash(owner, 2.0)
+            ends += 1
+    world.run(10.0)
+    assert all(world.jobs[job].cancelled_at is not None for job in jobs)
+    return world, ends
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_hung_machines_are_released_in_time_though_owners_change(seed):
+    world, ends = _hung_while_owners_change(seed)
+    assert ends >= 4
+
+
+def test_to_count_silence_anew_with_each_owner_is_found_out(monkeypatch):
+    monkeypatch.setattr(HomeKeeper, "_patience", lambda self, cancelled_s, silence_s, alone_s: silence_s)
+    with pytest.raises(Broken, match="ran_cancelled"):
+        for seed in range(3):
+            _hung_while_owners_change(seed)
