A node that is lost again and again is not given its keys back each time

The calm asked for doubles with each further loss of the same node within thirty leases, to four times at most. Several nodes lost once each, as in a rolling restart, are handed back as before.

Test: five refusals in two minutes, changes of owner with and without the doubling.

--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -15,6 +15,7 @@
 from tealhook.settings import Settings
 from tealhook.store.client import Outcome, Priority, ReadKind, RenewKind, StateClient
 from tealhook.store.shares import FLEET, HOME, NODE, OWN, PART, home_key, part_key, share_out
+from tealhook.store.stability import Stability
 from tealhook.store.watcher import Watcher
 from tealhook.wire import state as wire
 
@@ -55,7 +56,7 @@
         self._claim_from = -1e9  # a rejected claim is not repeated before
         self._rows: dict[str, _Owned] = {}
         self._absent_since: dict[str, float] = {}
-        self._changed_at = effects.now()  # when the set of live nodes last changed
+        self._stability = Stability(self.ttl_s, effects.now())
         self._ticked_at = effects.now()  # when a frequent timer of ours last ran
         self._stood_still_at = -1e9  # when it was last found that none had run for long
         self._gave_up_at = -1e9
@@ -146,8 +147,8 @@
 
     @property
     def settled(self) -> bool:
-        """Whether we are registered, and the set of live nodes has stayed the same for two lease times."""
-        return self._effects.now() - self._changed_at > 2 * self.ttl_s and self._registered
+        """Whether we are registered, and the set of live nodes has stayed the same for long enough."""
+        return self._registered and self._stability.settled(self._effects.now())
 
     def _on_rows(self, rows: list[wire.Row]) -> None:
         self._rows = {row.path: _Owned(row.v, row.stamp) for row in rows}
@@ -164,8 +165,7 @@
                 self._rows[key] = _Owned(event.v, event.stamp)
             else:
                 self._rows.pop(key, None)
-        if self.live() != before:
-            self._changed_at = self._effects.now()
+        self._stability.note(before, self.live(), self._effects.now())
         self._after_change()
 
     def _after_change(self) -> None:
--- /dev/null
+++ b/tests/test_flapping.py
@@ -0,0 +1,64 @@
+"""A controller that loses the state service again and again is not given its keys back each time."""
+
+from __future__ import annotations
+
+import pytest
+
+from tealhook.store import stability
+from tealhook.store.stability import Stability
+from tests.users import ALIKE
+from tests.world import World
+
+LEASE_S = 3.0
+
+
+def test_the_pause_doubles_with_each_loss_of_the_same_node_and_is_forgotten():
+    nodes = {"a", "b", "c"}
+    stable = Stability(LEASE_S, 0.0)
+    pauses = []
+    for start in (10.0, 40.0, 70.0, 100.0):
+        stable.note(nodes, nodes - {"a"}, start)
+        stable.note(nodes - {"a"}, nodes, start + 1.0)
+        waited = 0.0
+        while not stable.settled(start + 1.0 + waited):
+            waited += 0.5
+        pauses.append(waited)
+    assert pauses == [6.5, 12.5, 24.5, 24.5]
+    stable.note(nodes, nodes - {"a"}, 400.0)
+    assert not stable.settled(406.0) and stable.settled(406.5)
+
+
+def test_several_nodes_lost_once_each_are_no_flapping():
+    """As when all are restarted one after the other."""
+    nodes = {"a", "b", "c"}
+    stable = Stability(LEASE_S, 0.0)
+    for position, node in enumerate(sorted(nodes)):
+        stable.note(nodes, nodes - {node}, 10.0 * position)
+        stable.note(nodes - {node}, nodes, 10.0 * position + 1.0)
+    assert stable.settled(21.0 + 6.5)
+
+
+def _changes_of_owner(seed: int) -> int:
+    """How often something of a node that the state service refuses five times in two minutes changes hands."""
+    world = World(seed, limit=64.0)
+    world.run(30.0)
+    for i in range(12):
+        world.at(9.0 * i, lambda: world.submit(plays=4, expected_s=6.0, **ALIKE))
+    before = len(world.network.begins)
+    for i in range(5):
+        world.at(24.0 * i, lambda: world.state.refuses.add("n0"))
+        world.at(24.0 * i + 6.0, lambda: world.state.refuses.discard("n0"))
+    world.run(120.0)
+    changes = len(world.network.begins) - before
+    world.run(90.0)
+    assert world.unfinished() == []
+    owners = {row[0]["n"] for key, row in world.state.rows.items() if key.startswith("own/home/")}
+    assert owners == set(world.names)  # and in the end it has its share
+    return changes
+
+
+@pytest.mark.parametrize("seed", range(81, 84))
+def test_what_a_flapping_node_owned_stays_where_it_went(seed, monkeypatch):
+    calm = _changes_of_owner(seed)
+    monkeypatch.setattr(stability, "MOST_DOUBLINGS", 0)
+    assert calm < 0.75 * _changes_of_owner(seed)
