--- a/tealhook/api.py
+++ b/tealhook/api.py
@@ -14,6 +14,7 @@
 from tealhook.wire import mesh as wire
 from tealhook.wire.common import error_body
 from tealhook.wire.users import InvalidJobError, parse_job
+from tealhook.wire.workers import REPORT_PATH
 
 FORWARD_S = 0.8  # a user gives up on a poll after 2 s; this leaves time to answer it here instead
 
@@ -50,7 +51,7 @@
     def on_request(self, request: Request, reply: Reply) -> None:
         """Route a request of a user, a worker or a health check."""
         path = request.target.split("?", 1)[0]
-        if path == "/v1/report":
+        if path == REPORT_PATH:
             if self._method(request, "POST", reply):
                 self._parts.report(request.body, reply)
         elif path == "/healthz":
--- a/tealhook/http/server.py
+++ b/tealhook/http/server.py
@@ -96,8 +96,9 @@
             self._busy = False
             self.active_at = self._server.loop.now()
             self._server.touch(self)
-            self._stream.write(encode_response(status, body, request.keep_alive, retry_after))
-            if not request.keep_alive:
+            keep_alive = request.keep_alive and not self._server.closes_after(request)
+            self._stream.write(encode_response(status, body, keep_alive, retry_after))
+            if not keep_alive:
                 self._stream.finish()
             elif not self._parser.idle:
                 self._step()
@@ -121,12 +122,25 @@
 class HttpServer:
     """Listens on `addr`; idle connections are closed when the share is used up or they are too old."""
 
-    def __init__(self, loop: Loop, addr: str, handler: Handler, *, max_connections: int, idle_s: float) -> None:
-        """`handler` answers requests, now or later; who answers later must not do so while `crowded`."""
+    def __init__(
+        self,
+        loop: Loop,
+        addr: str,
+        handler: Handler,
+        *,
+        max_connections: int,
+        idle_s: float,
+        short_when_crowded: str | None = None,
+    ) -> None:
+        """`handler` answers requests, now or later; who answers later must not do so while `crowded`.
+
+        `short_when_crowded`: the path of requests whose connections are closed after the answer while that is so.
+        """
         self.loop = loop
         self.handler = handler
         self._max = max_connections
         self._idle_s = idle_s
+        self._short_when_crowded = short_when_crowded
         self._connections: OrderedDict[_Connection, None] = OrderedDict()
         self._sock = listen(addr, max_connections)  # all workers of a fleet may come at once
         loop.watch(self._sock, 1, self._accept)
@@ -151,6 +165,14 @@
         for its answer can't, and users must always get in."""
         return len(self._connections) > ROOMY_SHARE * self._max
 
+    def closes_after(self, request: Request) -> bool:
+        """Whether a connection is closed with the answer to a request.
+
+        With more workers than connections, an idle one is closed for each that comes. One that is told so opens a new
+        connection for its next report; one that is closed just as that report is on its way takes this node for dead.
+        """
+        return request.target == self._short_when_crowded and self.crowded
+
     def _evict(self) -> bool:
         """Close the connection that has been idle longest; False when all are at work."""
         for connection in self._connections:
--- a/tealhook/mesh/transport.py
+++ b/tealhook/mesh/transport.py
@@ -13,7 +13,7 @@
 log = logging.getLogger("tealhook.mesh")
 
 HEAD = 4
-MAX_QUEUED = 1 << 20
+MAX_QUEUED = 2 * MAX_FRAME  # to a peer that does not read; the gossip of thousands of machines is one frame
 MAX_BATCH = 32 * 1024
 
 
--- a/tealhook/parts/calls.py
+++ b/tealhook/parts/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from functools import partial
 
 import msgspec
@@ -34,6 +35,9 @@
         self._machines = machines
         self._owned_at = effects.now()
         self._called: dict[str, float] = {}  # machine -> when its worker was last told of our token
+        self._waiting: deque[tuple[str, str]] = deque()  # machines and addresses of workers still to be told
+        self._most = max(16, settings.params.limits.max_connections // 32)  # half of the direct calls' connections
+        self._under_way = 0
 
     def call_in(self, addrs: dict[str, str]) -> None:
         """Tell workers that have not come under our token of it, directly, so that they do.
@@ -51,9 +55,21 @@
             if now - self._called.get(name, -NEVER_S) < self._workers.lease_s / 4:
                 continue
             self._called[name] = now
-            self._fx.worker(addr, "GET", "/show", None, DIRECT_S, partial(self._shown, addr))
+            self._waiting.append((name, addr))
+        self._call_next()
+
+    def _call_next(self) -> None:
+        """Call as many workers as there are connections for: calls beyond that would fail, a lease's quarter lost."""
+        while self._waiting and self._under_way < self._most:
+            name, addr = self._waiting.popleft()
+            machine = self._machines.get(name)
+            if machine is None or not machine.sure:
+                self._under_way += 1
+                self._fx.worker(addr, "GET", "/show", None, DIRECT_S, partial(self._shown, addr))
 
     def _shown(self, addr: str, status: int | None, body: bytes) -> None:
+        self._under_way -= 1
+        self._call_next()
         if status != 200:
             return
         try:
--- a/tealhook/parts/commands.py
+++ b/tealhook/parts/commands.py
@@ -123,9 +123,8 @@
         killing: dict[str, Machine] = {}
         launching: dict[str, None] = {}  # in order: seeded runs must go the same way every time
         current = self._room.raise_home(request.team, request.home_token)
-        by_rid = {rid: machine for machine in self._machines.values() for rid in machine.bookings}
         for start in request.starts:
-            machine = by_rid.get(start.rid)
+            machine = self._room.booked_on(start.rid)
             booking = machine.bookings.get(start.rid) if machine is not None else None
             if (
                 machine is None
--- a/tealhook/parts/manager.py
+++ b/tealhook/parts/manager.py
@@ -24,8 +24,10 @@
 
 Reply = Callable[[int, bytes], Any]
 NEVER_S = 1e9
-MAX_TRACKED = 4096
-MAX_GONE = 20_000  # released machines remembered, their names are never used again
+LEAST_TRACKED = 4096  # machines; beyond that those are forgotten of which nothing was noted for long
+TRACKED_LEASES = 4.0
+LEAST_GONE = 20_000  # released machines remembered, as long as a copy of a report may be late in any case
+GONE_LEASES = 20.0
 
 
 class _Open:
@@ -67,8 +69,9 @@
         self.over: dict[str, float] = {}
         self._sent_on: dict[str, float] = {}  # machine -> when it was last sent on to the owner
         self._open: dict[str, _Open] = {}  # machine -> its newest report, if not answered yet
-        self._gone: OrderedDict[str, None] = OrderedDict()  # machines that were released
+        self._gone: OrderedDict[str, float] = OrderedDict()  # machines that were released, and when we heard of it
         self._relaying: dict[str, float] = {}  # machine -> since when its reports are relayed
+        self._most_tracked = LEAST_TRACKED  # before old entries of these are looked for
         workers = settings.params.workers
         # Once our view of cancellations is older than this, a task that was cancelled meanwhile must be
         # left to die by its worker's lease: the lease ends at most lease_s after the last report that we
@@ -112,8 +115,10 @@
 
     def forget(self, machine: str) -> None:
         """The machine is gone for good."""
-        self._gone[machine] = None
-        while len(self._gone) > MAX_GONE:
+        now = self._fx.now()
+        self._gone.setdefault(machine, now)
+        since = now - GONE_LEASES * self._settings.params.workers.lease_s
+        while len(self._gone) > LEAST_GONE and next(iter(self._gone.values())) < since:
             self._gone.popitem(last=False)
         for part in self.parts.values():
             part.forget(machine)
@@ -149,6 +154,15 @@
         timer = self._fx.later(patience, lambda: self._flush(report.box))
         self._open[report.box] = _Open(report, body, reply, timer)
 
+    def _forget_old(self, times: dict[str, float], now: float) -> None:
+        """Drop what is too old to matter from a table of machines, once it has doubled since the last time."""
+        if len(times) <= self._most_tracked:
+            return
+        since = now - TRACKED_LEASES * self._settings.params.workers.lease_s
+        for name in [name for name, at in times.items() if at < since]:
+            del times[name]
+        self._most_tracked = max(LEAST_TRACKED, 2 * len(times))
+
     def _flush(self, name: str) -> bool:
         """Answer a machine's open report with what there is to tell it; whether one was open."""
         waiting = self._open.pop(name, None)
@@ -189,8 +203,7 @@
         # can. Now and then it is sent on all the same, to find out whether it can again.
         stranded = report.baton == self._own.token(part_key(report.yard)) or now - sent < lease_s
         if not relayed and stranded and now - since < 4 * lease_s:
-            if len(self._relaying) > MAX_TRACKED:
-                self._relaying.clear()
+            self._forget_old(self._relaying, now)
             self._relaying.setdefault(report.box, now)
 
             def answered(answer: Any) -> None:
@@ -203,7 +216,6 @@
             self._mesh.call(owner, mesh_wire.Relay(body), min(2.0, lease_s / 6), answered)
             return
         self._relaying.pop(report.box, None)
-        if len(self._sent_on) > MAX_TRACKED:
-            self._sent_on.clear()
+        self._forget_old(self._sent_on, now)
         self._sent_on[report.box] = now
         reply(421, dumps({"boss": owner}))
--- a/tealhook/parts/partition.py
+++ b/tealhook/parts/partition.py
@@ -137,7 +137,7 @@
         machine.answered_at = -NEVER_S
         machine.tick = -1
         machine.held.clear()
-        machine.bookings.clear()
+        self.room.drop_all(machine)
         machine.kills.clear()
         machine.clears.clear()
         self.room.touch(machine)
@@ -237,8 +237,7 @@
                 # start the attempt anew.
                 held[(booking.play, booking.attempt)].booked_at = booking.booked_at
                 held[(booking.play, booking.attempt)].firm = booking.firm
-                del machine.bookings[booking.rid]
-                self.room.touch(machine)
+                self.room.settle_booking(machine, booking)
             elif booking.sends and (booking.revoked or booking.sends >= MAX_RESENDS):
                 # A newer report without it: the response that carried it was dropped for good.
                 self.room.drop_booking(machine, booking)
@@ -273,7 +272,9 @@
 
     def forget(self, name: str) -> None:
         """The machine is gone."""
-        self.machines.pop(name, None)
+        machine = self.machines.pop(name, None)
+        if machine is not None:
+            self.room.drop_all(machine)
 
     def drain(self, names: list[str]) -> None:
         """Give nothing more to these machines, and to no others of this part by the fleet's wish."""
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -7,9 +7,11 @@
 
 import heapq
 from collections import OrderedDict
+from collections.abc import Iterator
 
 from tealhook.jobs.index import JobIndex
 from tealhook.loop.effects import Effects
+from tealhook.parts.free_room import FreeRoom, without
 from tealhook.parts.machine import Booking, Held, Machine, Need, capacity, fits, slots
 from tealhook.parts.preemption import Preemption
 from tealhook.settings import Settings
@@ -18,7 +20,9 @@
 from tealhook.wire.workers import EXITED
 
 NEVER_S = 1e9
-MAX_JOBS = 4096
+LEAST_JOBS = 4096
+JOB_BYTES = 400  # about what one remembered job takes
+JOBS_SHARE = 1 / 16  # of the memory
 RATE_WEIGHT = 0.2  # of a measured fetch in the rate learned of a type
 
 
@@ -55,6 +59,9 @@
         self._preemption = Preemption(effects, settings, book, over)
         self._machines = machines
         self._home_tokens: dict[str, int] = {}
+        memory_bytes = settings.params.limits.mem_mb * 2**20
+        self._most_jobs = max(LEAST_JOBS, int(memory_bytes * JOBS_SHARE / JOB_BYTES))
+        self._booked: dict[int, Machine] = {}  # reservation -> its machine
         self._rid = effects.rng.getrandbits(40) << 20
         self._rates: dict[str, float] = {}
         # Inquiries come several times a report period, from every home, for every waiting job: what they
@@ -72,7 +79,7 @@
         """Remember whose job a launched task is of, and what it takes."""
         self._launched[job] = (team, need)
         self._launched.move_to_end(job)
-        if len(self._launched) > MAX_JOBS:
+        if len(self._launched) > self._most_jobs:
             self._launched.popitem(last=False)
 
     def need(self, job: str) -> Need | None:
@@ -145,9 +152,27 @@
                         self.drop_booking(machine, booking)
         return True
 
+    def booked_on(self, rid: int) -> Machine | None:
+        """The machine on which a reservation stands."""
+        machine = self._booked.get(rid)
+        return machine if machine is not None and rid in machine.bookings else None
+
+    def settle_booking(self, machine: Machine, booking: Booking) -> None:
+        """A reservation has become a task that the worker reports."""
+        del machine.bookings[booking.rid]
+        self._booked.pop(booking.rid, None)
+        self.touch(machine)
+
+    def drop_all(self, machine: Machine) -> None:
+        """The machine is gone, or its lease has ended: none of its reservations stands any more."""
+        for rid in machine.bookings:
+            self._booked.pop(rid, None)
+        machine.bookings.clear()
+
     def drop_booking(self, machine: Machine, booking: Booking) -> None:
         """Give the room of a reservation back."""
         machine.bookings.pop(booking.rid, None)
+        self._booked.pop(booking.rid, None)
         self.touch(machine)
         for held in machine.held.values():
             if held.yields_to == booking.rid:
@@ -252,14 +277,13 @@
     def reserve(self, request: mesh.Reserve) -> mesh.ReserveReply:
         """Hold room for wants, in their order, on machines that can start them at once."""
         now = self._fx.now()
-        usable = self._usable()
-        free = {machine.name: list(self.free(machine)) for machine in usable}
+        free = FreeRoom(self._usable(), self.free)
         answer: list[list[mesh.Slot]] = []
         for want in request.wants:
             if not self.raise_home(want.team, want.home_token):
                 answer.append([])
                 continue
-            answer.append(self._give(want, usable, free, now))
+            answer.append(self._give(want, free, now))
         return mesh.ReserveReply(self._token, answer)
 
     def _blocked(self, machine: Machine, want: mesh.Want, now: float) -> bool:
@@ -270,37 +294,36 @@
             return False
         return hold[0] != want.job and not want.aged
 
-    def _give(
-        self, want: mesh.Want, usable: list[Machine], free: dict[str, list[float]], now: float
-    ) -> list[mesh.Slot]:
-        shape = want.shape
-        need = (shape.vcpus, shape.cards, shape.memory_gb)
-        given: list[mesh.Slot] = []
-        candidates = [
+    def _candidates(self, want: mesh.Want, free: FreeRoom, now: float) -> Iterator[Machine]:
+        """Machines that a want may go to, in the order of packing, whatever room they have."""
+        return (
             machine
-            for machine in usable
-            if self._allowed(machine, shape)
+            for machine in free.in_order(want.shape.image)
+            if self._allowed(machine, want.shape)
             and machine.name not in want.avoid
             and not self._blocked(machine, want, now)
-        ]
-
-        # Cached image first, then the cheaper kind (so that the dearer idles and can be returned), then the
-        # fullest machine that fits, as the paper's local mapping packs them.
-        def order(machine: Machine) -> tuple:
-            return not machine.has_image(shape.image), not machine.loaners, free[machine.name][0], machine.heard_at
-
-        for machine in sorted((m for m in candidates if fits(free[m.name], need)), key=order):
-            room = free[machine.name]
-            while len(given) < want.count and fits(room, need):
-                given.append(self._book_room(machine, want, need, [], now))
-                for i in range(3):
-                    room[i] -= need[i]
-            if len(given) >= want.count:
-                return given
-        if self._preemption.allowed(want):
-            self._preempt(want, need, sorted(candidates, key=order), free, given, now)
+        )
+
+    def _give(self, want: mesh.Want, free: FreeRoom, now: float) -> list[mesh.Slot]:
+        shape = want.shape
+        need = (shape.vcpus, shape.cards, shape.memory_gb)
+        chosen: list[tuple[Machine, int]] = []
+        missing = want.count
+        for machine in self._candidates(want, free, now):
+            if missing <= 0:
+                break
+            count = min(missing, slots(free.left(machine), need))
+            if count:
+                chosen.append((machine, count))
+                missing -= count
+        given: list[mesh.Slot] = []
+        for machine, count in chosen:
+            given.extend(self._book_room(machine, want, need, [], now) for _ in range(count))
+            free.set_left(machine, without(free.left(machine), need, count))
+        if missing > 0 and self._preemption.allowed(want):
+            self._preempt(want, need, list(self._candidates(want, free, now)), free, given, now)
         if want.aged and len(given) < want.count:
-            self._hold(want, need, candidates, now)
+            self._hold(want, need, list(self._candidates(want, free, now)), now)
         return given
 
     def _book_room(self, machine: Machine, want: mesh.Want, need: Need, victims: list[Held], now: float) -> mesh.Slot:
@@ -319,6 +342,7 @@
         for held in victims:
             held.yields_to = booking.rid
         machine.bookings[booking.rid] = booking
+        self._booked[booking.rid] = machine
         self.touch(machine)
         if machine.hold_for is not None and machine.hold_for[0] == want.job:
             machine.hold_for = None
@@ -330,7 +354,7 @@
         want: mesh.Want,
         need: Need,
         candidates: list[Machine],
-        free: dict[str, list[float]],
+        free: FreeRoom,
         given: list[mesh.Slot],
         now: float,
     ) -> None:
@@ -339,20 +363,20 @@
         # guarantees: so an offer is worked out again when its turn comes, not all of them each time.
         offers = []
         for order, machine in enumerate(candidates):
-            offer = self._preemption.offer(machine, want, need, free[machine.name], now)
+            offer = self._preemption.offer(machine, want, need, free.left(machine), now)
             if offer is not None:
                 offers.append((offer.lost, order, machine))
         heapq.heapify(offers)
         while offers and len(given) < want.count:
             lost, order, machine = heapq.heappop(offers)
-            offer = self._preemption.offer(machine, want, need, free[machine.name], now)
+            offer = self._preemption.offer(machine, want, need, free.left(machine), now)
             if offer is None:
                 continue
             if offer.lost > lost and offers and offer.lost > offers[0][0]:
                 heapq.heappush(offers, (offer.lost, order, machine))
                 continue
             self._preemption.charge(want, offer.victims)
-            free[machine.name] = [have - used for have, used in zip(offer.room, need, strict=True)]
+            free.set_left(machine, without(offer.room, need))
             given.append(self._book_room(machine, want, need, offer.victims, now))
             heapq.heappush(offers, (lost, order, machine))
 
--- a/tealhook/runtime.py
+++ b/tealhook/runtime.py
@@ -15,6 +15,7 @@
 from tealhook.loop.effects import Answer
 from tealhook.mesh.transport import MeshTransport
 from tealhook.settings import Policy, Settings
+from tealhook.wire.workers import REPORT_PATH
 
 log = logging.getLogger("tealhook")
 
@@ -22,6 +23,13 @@
 CLOUD_CONNECTIONS = 4
 WORKER_CONNECTIONS = 1
 WORKERS_SHARE = 1 / 16  # of the connections: for direct calls to workers
+ANSWER_SHARE = 1 / 16  # of the memory: the largest answer of the state service that is taken
+LEAST_ANSWER_BYTES = 4 << 20
+
+
+def most_direct_calls(settings: Settings) -> int:
+    """How many workers may be called directly at the same time."""
+    return max(16, int(settings.params.limits.max_connections * WORKERS_SHARE))
 
 
 class Runtime:
@@ -33,10 +41,16 @@
         self.rng = random.Random()
         self.now = self.loop.now
         self.wall = time.time
-        self._state = HttpClient(self.loop, settings.services.state, max_connections=STATE_CONNECTIONS)
+        limits = settings.params.limits
+        self._state = HttpClient(
+            self.loop,
+            settings.services.state,
+            max_connections=STATE_CONNECTIONS,
+            max_body=max(LEAST_ANSWER_BYTES, int(limits.mem_mb * 2**20 * ANSWER_SHARE)),
+        )
         self._cloud = HttpClient(self.loop, settings.services.cloud, max_connections=CLOUD_CONNECTIONS, max_idle=1)
         self._workers: dict[str, HttpClient] = {}
-        self.most_workers = max(16, int(settings.params.limits.max_connections * WORKERS_SHARE))
+        self.most_workers = most_direct_calls(settings)
         self.transport: MeshTransport  # set by `serve` before anything is sent: it needs the controller
 
     def later(self, delay: float, call: Callable[[], Any]) -> Timer:
@@ -91,6 +105,7 @@
         controller.on_request,
         max_connections=users,
         idle_s=max(60.0, 4 * lease_s),
+        short_when_crowded=REPORT_PATH,
     )
     controller.parts.crowded = lambda: server.crowded
 
--- a/tealhook/store/watcher.py
+++ b/tealhook/store/watcher.py
@@ -12,11 +12,15 @@
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
 REFRESH_WAIT_S = 1.0  # for tokens
+LIST_AFTER = 3  # watches without an answer, one after the other, while the service answers other calls
 
 
 class Watcher:
     """Lists once, then follows changes; lists anew when it fell too far behind.
 
+    It also does when watches go unanswered while other calls are served: an answer holds all changes, whatever their
+    size, and after a long cut it may be larger than this process can take. Asked for again it only grows.
+
     `on_rows(rows)` gives the whole state, `on_events(events)` what came after. `viewed_at` is when the
     request was sent whose answer last showed everything: the view is at least as new as that.
     """
@@ -101,7 +105,7 @@
                 self._list()
                 return
             if watched is None:
-                self._retry(self._watch)
+                self._retry(self._list if self._failures >= LIST_AFTER and self._store.served else self._watch)
                 return
             self._advance(watched, sent)
             self._watch()
--- a/tealhook/wire/workers.py
+++ b/tealhook/wire/workers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 LAUNCH, KILL, CLEAR = "launch", "kill", "clear"
+REPORT_PATH = "/v1/report"
 EXITED = "exited"
 ALIVE = ("pulling", "running", "flushing")
 ANSWER_S = 4.0  # a worker drops answers to a report that come later
--- a/tests/test_hearing.py
+++ b/tests/test_hearing.py
@@ -107,7 +107,8 @@
 @pytest.mark.parametrize("broken", [False, True])
 def test_a_late_copy_brings_no_released_machine_back(broken, monkeypatch):
     if broken:
-        monkeypatch.setattr("tealhook.parts.manager.MAX_GONE", 0)
+        monkeypatch.setattr("tealhook.parts.manager.LEAST_GONE", 0)
+        monkeypatch.setattr("tealhook.parts.manager.GONE_LEASES", -1.0)
     owner, name, copies = _copies(world := _busy(23))
     world.cloud.remove(name)
     for node in world.nodes.values():
