--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -23,6 +23,8 @@
         self.down = False
         self.refused = 0  # calls beyond the budget
         self.quick_boots = False  # machines are up within two seconds
+        self.boots_fail = 0.0  # share of machines that never come up, beyond the usual ones
+        self.boots_slower = 1.0  # times the usual time to come up
         self.answer_s = 0.0  # how late answers to rentals may be
         self._count = 0
         self._tokens, self._tokens_at = 0.0, -1e9
@@ -71,8 +73,8 @@
             rig = next(r for r in self.rigs if r["name"] == value["rig"])
             worker = Worker(self.world, name, rig, value["yard"], value["loaners"])
             self.machines[name] = worker
-            if self.world.rng.random() < 0.95:
-                boot_s = rig["ready_s"] * self.world.rng.uniform(0.05, 1.5)
+            if self.world.rng.random() < 0.95 - self.boots_fail:
+                boot_s = self.boots_slower * rig["ready_s"] * self.world.rng.uniform(0.05, 1.5)
                 if self.quick_boots:
                     boot_s = self.world.rng.uniform(0.0, 2.0)
                 self.world.at(boot_s, worker.boot)
