A partition or fleet whose owner hears neither workers nor peers is handed on

Cause (seen in a directed test of each cut): a controller that keeps the state service but loses its workers and its peers stays owner of its partition, so its machines were commanded by nobody: with all machines cut, new ones too, 3 of 10 jobs got nowhere within 60 s. It gives up what is of no use there once none of the workers has been heard of for 1.25 leases and no peer is reached, and does not claim it again while that lasts. While a peer is reached nothing is handed on: workers that are heard of nowhere are behind a cut themselves.

The same test showed keys going round after the cut: what had been set aside was refused when others handed it back. It is claimable as soon as a peer is reached.

The pipelines' scenario of old views now delays lists too: watches that go unanswered are replaced by lists since the last change but two.

--- a/tealhook/controller.py
+++ b/tealhook/controller.py
@@ -62,6 +62,7 @@
             self._on_unknown_job,
         )
         self.parts.on_zone = self._on_zone
+        self.ownership.unheard = self.parts.unheard
         self.homes = TeamScheduler(
             effects, settings, policy, self.ownership, self.store, self.book, self.mesh, self._variables
         )
--- a/tealhook/parts/manager.py
+++ b/tealhook/parts/manager.py
@@ -113,6 +113,11 @@
         """
         return self._own.lease_uncertain or self._book.watcher.age() > self._own.ttl_s
 
+    def unheard(self, zone: str | None) -> bool:
+        """Whether no worker of a zone that we own, or for None of any, has been heard of for longer than its lease."""
+        partitions = self.parts.values() if zone is None else [self.parts[zone]] if zone in self.parts else []
+        return all(partition.unheard for partition in partitions)
+
     def forget(self, machine: str) -> None:
         """The machine is gone for good."""
         now = self._fx.now()
--- a/tealhook/parts/partition.py
+++ b/tealhook/parts/partition.py
@@ -26,6 +26,7 @@
 
 NEVER_S = 1e9
 REPORT_GAP_S = 0.5  # the protocol: a worker never reports more often
+UNHEARD_LEASES = 1.25  # a partition none of whose machines is heard of for so long may be out of our reach
 DEAF_LEASES = 2.0  # a machine that has not heard for so many leases is replaced
 DRIFT = 1.001  # two steady clocks, each at most 0.05% off
 
@@ -61,6 +62,7 @@
         self._publish = self.updates.publish
         self._orders = self.commands.orders
         self._job_errors: dict[str, set[str]] = {}
+        self._owned_at = effects.now()
 
     # -- reports
 
@@ -266,6 +268,12 @@
         """Tell workers that have not come under our token of it, directly, so that they do."""
         self.calls.call_in(addrs)
 
+    @property
+    def unheard(self) -> bool:
+        """Whether no machine, be there any or not, has been heard of for longer than a lease."""
+        since = self._fx.now() - UNHEARD_LEASES * self._workers.lease_s
+        return self._owned_at < since and all(machine.heard_at < since for machine in self.machines.values())
+
     def probe(self) -> None:
         """Ask machines that did not hear whether they do now."""
         self.calls.probe()
--- a/tealhook/store/ownership.py
+++ b/tealhook/store/ownership.py
@@ -22,6 +22,7 @@
 log = logging.getLogger("tealhook.store")
 
 MOST_CLAIMS = 8  # in one transaction
+SET_ASIDE_LEASES = 12  # so long a key is left to others that was given up because no worker is heard
 
 
 class _Owned:
@@ -66,6 +67,9 @@
         self._held: dict[str, int] = {}  # what the listener was told that we own
         self.listener: Callable[[str, int | None], Any] = lambda _key, _token: None
         self.reachable: Callable[[str], bool] = lambda _node: True
+        # Whether none of a zone's workers, or for None of all zones', is heard here.
+        self.unheard: Callable[[str | None], bool] = lambda _zone: False
+        self._set_aside: dict[str, float] = {}  # keys that we gave up for that, not to be claimed before
         self._stranded_at: float | None = None  # since when no owner of a part can be reached
         self.watcher = Watcher(
             effects, store, OWN, settings.params.workers.lease_s / 12, self._on_rows, self._on_events
@@ -254,9 +258,11 @@
         plan = share_out(self._wanted | {k for k in self._rows if not k.startswith(NODE)}, live)
         now = self._effects.now()
         stranded = self._stranded(now)
+        if not self._isolated(live):
+            self._set_aside.clear()  # others hand keys back from now on, and expect them to be taken
         claims = []
         for key, node in plan.items():
-            if key in self._rows or stranded and key.startswith(HOME):
+            if key in self._rows or stranded and key.startswith(HOME) or self._set_aside.get(key, now) > now:
                 continue
             # The plan gives the key to another node: claim it only if that one has not for longer than a lease lasts.
             if node == self.node or now - self._absent_since.get(key, now) > self.ttl_s:
@@ -308,15 +314,36 @@
             self._stranded_at = now
         return now - self._stranded_at > self.ttl_s / 2
 
+    def _is_out_of_reach(self, key: str, live: dict[str, str]) -> bool:
+        """Whether a key of ours is of no use here: no worker is heard, nor any peer that would relay their reports.
+
+        The state service still serves us, so nobody else would ever take it over. While a peer is reached, workers
+        that are heard of nowhere are behind a cut themselves, and another owner would hear no more of them.
+        """
+        if not self._isolated(live):
+            return False
+        if key.startswith(PART):
+            return self.unheard(key[len(PART) :])
+        return key == FLEET and self.unheard(None)
+
+    def _isolated(self, live: dict[str, str]) -> bool:
+        """Whether other nodes are registered, and none of them can be reached from here."""
+        peers = [node for node in live if node != self.node]
+        return bool(peers) and not any(self.reachable(node) for node in peers)
+
     def _give_up(self, plan: dict[str, str], now: float, stranded: bool) -> None:
         """Hand one key to a returned node, at most one per half lease and only once the set of nodes is settled."""
         if not self.settled or now - self._gave_up_at < self.ttl_s / 2:
             return
+        live = self.live()
         for key, token in list(self._held.items()):
             leaving = stranded and key.startswith(HOME)
+            if self._is_out_of_reach(key, live):
+                leaving = True
+                self._set_aside[key] = now + SET_ASIDE_LEASES * self.ttl_s
             if leaving or plan.get(key, self.node) != self.node and self.reachable(plan[key]):
                 self._gave_up_at = now
-                log.info("giving up %s to %s", key, "whoever reaches a part" if leaving else plan[key])
+                log.info("giving up %s to %s", key, "whoever reaches more" if leaving else plan[key])
                 # Not at the lowest priority: on a node that has taken over everything, assignments use up the budget,
                 # so it would never hand anything over.
                 self._store.txn({key: token}, [wire.drop(key)], Priority.ADMIT, lambda _outcome, _epoch, _failed: None)
--- a/tests/operations.py
+++ b/tests/operations.py
@@ -25,7 +25,7 @@
     if "peers" in sides:
         others.extend(name for name in world.names if name != node)
     if "workers" in sides:
-        others.extend(world.cloud.machines)
+        world.network.cut_from_workers.add(node)
     for other in others:
         world.network.cut(node, other)
     world.happened[f"cut from {'+'.join(sides)}"] += 1
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -20,6 +20,7 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.cuts: set[frozenset[str]] = set()
+        self.cut_from_workers: set[str] = set()  # controllers that are cut off from all machines, new ones too
         self.deaf: set[str] = set()  # machines whose reports arrive, but nothing reaches them
         self.mute: set[str] = set()  # machines that direct commands reach, but that reach no controller
         self.swallowed = 0  # launches that were told to deaf machines
@@ -71,6 +72,7 @@
 
     def heal(self) -> None:
         self.cuts.clear()
+        self.cut_from_workers.clear()
         held, self.held = self.held, {}
         for calls in held.values():
             for call in calls:
@@ -92,13 +94,17 @@
         if b in self.deaf:
             return
         pair = frozenset((a, b))
-        if pair in self.cuts:
+        if pair in self.cuts or self._cut_from_workers(a, b):
             self.happened["cut"] += 1
             if self.hold:
                 self.held.setdefault(pair, []).append(call)
             return
         self.world.at(self.world.rng.uniform(0.0005, self.slowest), call)
 
+    def _cut_from_workers(self, a: str, b: str) -> bool:
+        machines = self.world.cloud.machines
+        return a in self.cut_from_workers and b in machines or b in self.cut_from_workers and a in machines
+
     # -- services
 
     def on_change(self, key: str, value: Any, _epoch: int) -> None:
--- /dev/null
+++ b/tests/test_cuts.py
@@ -0,0 +1,102 @@
+"""A controller that loses one or two of those that it talks to: work goes on, and nothing flaps afterwards."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.operations import CUTS, cut_sides
+from tests.simulation.requests import make_request
+from tests.troubles import owner
+from tests.users import ALIKE
+from tests.world import World
+
+CUT_S = 60.0
+QUICK = ALIKE | {"plays": 2, "vcpus": 1.0, "expected_s": 2.0}
+GOES_ON_S = 36.0  # four leases of the workers
+
+
+def _health(world: World, node: str) -> int:
+    statuses: list[int] = []
+    world.nodes[node].on_request(make_request("GET", "/healthz", b""), lambda status, *_rest: statuses.append(status))
+    return statuses[0]
+
+
+def _cut(sides: tuple[str, ...], hold: bool, seed: int = 101) -> tuple[World, str, float]:
+    """Cut the owner of a partition; the longest that the tasks of a job took which came during the cut."""
+    world = World(seed, limit=64.0)
+    world.run(30.0)
+    for i in range(8):  # keeps machines up
+        world.at(10.0 * i, lambda: world.submit(**QUICK | {"expected_s": 12.0, "plays": 8}))
+    world.run(20.0)
+    world.network.hold = hold
+    node = owner(world, "part")
+    cut_sides(world, node, sides)
+    jobs: list[str] = []
+    done_at: dict[str, float] = {}
+    for i in range(10):
+        world.at(3.0 * i, lambda: jobs.append(world.submit(**QUICK | {"crew": f"team-{len(jobs) % 3}"})))
+
+    def look() -> None:
+        for job in jobs:
+            if all(name in world.finished for name in world.jobs[job].tasks()):
+                done_at.setdefault(job, world.now)
+
+    for i in range(int(2 * CUT_S)):
+        world.at(0.5 * i, look)
+    world.run(CUT_S)
+    assert len(done_at) == len(jobs) == 10, "work stood still"
+    return world, node, max(at - world.jobs[job].submitted_at for job, at in done_at.items())
+
+
+@pytest.mark.parametrize("hold", [True, False])
+@pytest.mark.parametrize("sides", CUTS, ids="+".join)
+def test_work_goes_on_whatever_one_controller_loses(sides, hold):
+    world, node, longest_s = _cut(sides, hold)
+    assert longest_s < GOES_ON_S
+    others = [name for name in world.names if name != node]
+    assert [_health(world, name) for name in others] == [200, 200]
+    if "state" in sides:
+        assert _health(world, node) == (200 if "peers" in sides else 503)
+        rows = world.state.rows
+        assert not any(row[0]["n"] == node for key, row in rows.items() if key.startswith("own/"))
+    before = len(world.network.begins)
+    world.network.heal()
+    world.run(60.0)
+    assert world.unfinished() == []
+    assert _health(world, node) == 200
+    assert len(world.network.begins) - before <= 8  # its share, once
+
+
+def test_a_partition_out_of_its_owners_reach_is_taken_over_and_given_back():
+    """Guards against machines that nobody commands: the state service serves their owner, and it alone."""
+    world, node, _longest_s = _cut(("peers", "workers"), False)
+    rows = world.state.rows
+    assert rows["own/part/za"][0]["n"] != node or rows["own/part/zb"][0]["n"] != node
+    assert not any(row[0]["n"] == node for key, row in rows.items() if key.startswith("own/part/"))
+    world.network.heal()
+    world.run(90.0)
+    assert world.unfinished() == []
+    owners = {row[0]["n"] for key, row in rows.items() if key.startswith("own/")}
+    assert owners == set(world.names)
+
+
+def test_a_zone_that_nobody_hears_stays_where_it_is():
+    """Its owner reaches its peers, so another one would hear no more of it: nothing is handed round."""
+    world = World(104, limit=64.0)
+    world.run(30.0)
+    for i in range(8):
+        world.at(8.0 * i, lambda: world.submit(**QUICK | {"expected_s": 12.0, "plays": 8}))
+    world.run(20.0)
+    zone = owner_zone(world)
+    for machine in world.cloud.machines.values():
+        if machine.yard == zone:
+            for name in world.names:
+                world.network.cut(name, machine.name)
+    before = [entry for entry in world.network.begins if entry[1] == f"own/part/{zone}"]
+    world.run(45.0)
+    assert [entry for entry in world.network.begins if entry[1] == f"own/part/{zone}"] == before
+
+
+def owner_zone(world: World) -> str:
+    """A zone with machines."""
+    return sorted(machine.yard for machine in world.cloud.machines.values() if machine.up)[0]
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -779,11 +779,11 @@
 
 
 def _hear_late(world: World, seconds: float) -> None:
-    """Nodes hear of changes of jobs so much later, once the watches that are open have ended."""
+    """Nodes hear of changes of jobs so much later, by watch or list, once the watches that are open have ended."""
     whole = world.state.handle
 
     def late(node, method, target, body, answer):
-        if target.startswith("/watch?starts=job/"):
+        if target.startswith(("/watch?starts=job/", "/store?starts=job/")):
             whole(node, method, target, body, lambda status, data: world.at(seconds, lambda: answer(status, data)))
         else:
             whole(node, method, target, body, answer)
