Boot times are learned by type and zone, and weigh in what is rented

Need: machines that come up late or never; demand went on into a zone in which nothing came up, as its machines were the cheapest. What a kind costs counts its boot; that is now the time learned from actual boots (forgotten over twenty of them) or the age of a machine there that is overdue. Test: with a zone in which nothing comes up, at most half as large a share of rentals goes there as without.

--- /dev/null
+++ b/tealhook/fleet/boots.py
@@ -0,0 +1,78 @@
+"""How long machines take to come up, by type and zone: learned from actual boots, and forgotten again."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from tealhook.wire.cloud import MachineType
+
+WEIGHT = 0.3  # of one boot in what is learned
+MEMORY_BOOTS = 20.0  # usual boot times after which most of what was learned is forgotten
+FAILED = 4.0  # times the usual time: as what a machine counts that never came up
+OVERDUE = 1.75  # times the usual time: usual boots take up to 1.5 times as long
+LONGEST = 8.0  # times the usual time: the most that is believed
+
+
+class Site(NamedTuple):
+    """Where machines boot alike: a type in a zone."""
+
+    rig: str
+    zone: str
+
+
+class _Learned:
+    """A ratio of actual to usual boot times, and when it was last learned from."""
+
+    __slots__ = ("ratio", "at")
+
+    def __init__(self, at: float) -> None:
+        self.ratio = 1.0
+        self.at = at
+
+
+class BootTimes:
+    """Ratios of actual to usual boot times. Demand goes where machines come up, and back once they do again."""
+
+    def __init__(self) -> None:
+        """Nothing is known yet: machines are taken to come up in the usual time."""
+        self._learned: dict[Site, _Learned] = {}
+        self._overdue: dict[Site, float] = {}
+
+    def came_up(self, rig: MachineType, zone: str, took_s: float, now: float) -> None:
+        """A machine came up after so many seconds."""
+        self._learn(rig, zone, took_s / max(rig.ready_s, 1.0), now)
+
+    def never_came_up(self, rig: MachineType, zone: str, now: float) -> None:
+        """A machine was given up on."""
+        self._learn(rig, zone, FAILED, now)
+
+    def _learn(self, rig: MachineType, zone: str, ratio: float, now: float) -> None:
+        site = Site(rig.name, zone)
+        known = self._learned.setdefault(site, _Learned(now))
+        before = self._ratio(site, rig, now)
+        known.ratio = before + WEIGHT * (min(ratio, LONGEST) - before)
+        known.at = now
+
+    def begin_look(self) -> None:
+        """The machines that are starting are looked at anew."""
+        self._overdue.clear()
+
+    def still_starting(self, rig: MachineType, zone: str, age_s: float) -> None:
+        """A machine has been starting for so long: one that is overdue tells of the others there before it is up."""
+        ratio = age_s / max(rig.ready_s, 1.0)
+        if ratio > OVERDUE:
+            site = Site(rig.name, zone)
+            self._overdue[site] = max(self._overdue.get(site, 0.0), min(ratio, LONGEST))
+
+    def _ratio(self, site: Site, rig: MachineType, now: float) -> float:
+        known = self._learned.get(site)
+        if known is None:
+            return 1.0
+        left = math.exp(-max(0.0, now - known.at) / (MEMORY_BOOTS * max(rig.ready_s, 1.0)))
+        return 1.0 + left * (known.ratio - 1.0)
+
+    def expected_s(self, rig: MachineType, zone: str, now: float) -> float:
+        """Seconds that a machine rented now should take to come up."""
+        site = Site(rig.name, zone)
+        return rig.ready_s * max(self._ratio(site, rig, now), self._overdue.get(site, 0.0))
--- a/tealhook/fleet/cloud_calls.py
+++ b/tealhook/fleet/cloud_calls.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from tealhook.fleet.boots import BootTimes
 from tealhook.fleet.machine_types import TypesStore
 from tealhook.fleet.machines import RentedMachine
 from tealhook.loop import TokenBucket
@@ -65,6 +66,7 @@
     def _reset(self) -> None:
         """Forget what is known: ownership came or went."""
         self._machines: dict[str, RentedMachine] = {}
+        self._boots = BootTimes()
         self._dead: dict[str, float] = {}  # released, or known to be gone: lists may still show them
         self._fences: dict[str, float] = {}  # machines to be released, and since when
         self._fences_from = -1e9  # until then nothing is released
@@ -75,6 +77,12 @@
         self._stored_types: set[tuple] | None = None  # as written by us under this ownership
         self._storing_types = False
 
+    def _note_up(self, machine: RentedMachine, now: float) -> None:
+        """A machine that was starting is up: by its reports, or by the list, whichever shows it first."""
+        machine.status, machine.up_at = "running", now
+        if machine.rig in self._types:
+            self._boots.came_up(self._types[machine.rig], machine.yard, now - machine.born, now)
+
     def _call(self, method: str, target: str, body: bytes | None, answer: CloudAnswer) -> None:
         """Send one request to the cloud; its answer is dropped when the ownership has changed meanwhile."""
         self._calling += 1
--- a/tealhook/fleet/listing.py
+++ b/tealhook/fleet/listing.py
@@ -98,8 +98,7 @@
                 # It has stopped of its own accord; releasing it takes it off the list, and is the proof.
                 self._fences.setdefault(machine.name, now)
             elif item.status == "running" and machine.status == "starting":
-                machine.status = "running"
-                machine.up_at = now
+                self._note_up(machine, now)
         for name, machine in self._machines.items():
             # Taken back, or the list is an older one: alone this proves nothing.
             if machine.listed and name not in names and machine.absent_at is None:
--- a/tealhook/fleet/releasing.py
+++ b/tealhook/fleet/releasing.py
@@ -68,7 +68,7 @@
                 machine.told_at = now
             if state is not None:
                 if machine.status == "starting":
-                    machine.status, machine.up_at = "running", now
+                    self._note_up(machine, now)
                 lost = self._is_silent(machine, state, fence_s)
             else:
                 lost = self._is_missing(machine, now)
@@ -96,6 +96,8 @@
         ready_s = rig.ready_s if rig else lease_s
         if machine.status == "starting" and now - machine.born > DEAD_BOOT * ready_s + self._lag:
             log.info("%s never came up", machine.name)
+            if rig is not None and machine.name not in self._fences:
+                self._boots.never_came_up(rig, machine.yard, now)
             return True
         if machine.absent_at is not None and now - max(machine.absent_at, machine.told_at) > self._lag:
             # Taken while its part changed owners, so that the new one never hears of it.
--- a/tealhook/fleet/renting.py
+++ b/tealhook/fleet/renting.py
@@ -63,8 +63,11 @@
         """What could be rented, cheapest first; what waits decides what is of use."""
         shapes = [(item.shape, item.yard) for item in demand]
         count: dict[str, int] = {}
+        self._boots.begin_look()
         for machine in self._machines.values():
             count[machine.yard] = count.get(machine.yard, 0) + 1
+            if machine.status == "starting" and machine.rig in self._types:
+                self._boots.still_starting(self._types[machine.rig], machine.yard, now - machine.born)
         quickest = min(rig.ready_s for rig in self._types.values()) or 1.0
         options: list[Offer] = []
         for rig in self._types.values():
@@ -76,7 +79,8 @@
                     if shapes and not any(_is_of_use(rig, option, shape, yard) for shape, yard in shapes):
                         continue
                     # A machine is paid for while it boots: over a life of some ten boots that adds up.
-                    cost = cpu_price(rig, spot) * (1.0 + rig.ready_s / (10 * quickest))
+                    boot_s = max(rig.ready_s, self._boots.expected_s(rig, zone, now))
+                    cost = cpu_price(rig, spot) * (1.0 + boot_s / (10 * quickest))
                     options.append(Offer(cost * (1.0 + 0.001 * count.get(zone, 0)), option))
         options.sort()
         return options
--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -23,6 +24,8 @@
         self.down = False
         self.refused = 0  # calls beyond the budget
         self.quick_boots = False  # machines are up within two seconds
+        self.dead_zones: set[str] = set()  # in which no machine comes up
+        self.rented: Counter[str] = Counter()  # machines, by zone
         self.boots_fail = 0.0  # share of machines that never come up, beyond the usual ones
         self.boots_slower = 1.0  # times the usual time to come up
         self.answer_s = 0.0  # how late answers to rentals may be
@@ -70,6 +73,7 @@
             self._count += 1
             name = f"host-{self._count:06d}"
             names.append(name)
+            self.rented[value["yard"]] += 1
             rig = next(r for r in self.rigs if r["name"] == value["rig"])
             worker = Worker(self.world, name, rig, value["yard"], value["loaners"])
             self.machines[name] = worker
@@ -77,7 +81,8 @@
                 boot_s = self.boots_slower * rig["ready_s"] * self.world.rng.uniform(0.05, 1.5)
                 if self.quick_boots:
                     boot_s = self.world.rng.uniform(0.0, 2.0)
-                self.world.at(boot_s, worker.boot)
+                if value["yard"] not in self.dead_zones:
+                    self.world.at(boot_s, worker.boot)
         if names:
             self.asks[value["ask"]] = names
             self._answer_rental(names, answer)
--- /dev/null
+++ b/tests/test_boots.py
@@ -0,0 +1,59 @@
+"""Machines that come up late, or never: demand goes where they come up, and back once they do again."""
+
+from __future__ import annotations
+
+import pytest
+
+from tealhook.fleet.boots import MEMORY_BOOTS, BootTimes
+from tealhook.wire.cloud import MachineType
+from tests.users import ALIKE
+from tests.world import World
+
+READY_S = 20.0
+RIG = MachineType("small", 8.0, 32.0, ready_s=READY_S, yards=["za", "zb"])
+
+
+def test_the_time_is_learned_from_boots_and_forgotten():
+    boots = BootTimes()
+    assert boots.expected_s(RIG, "za", 0.0) == READY_S
+    for i in range(8):
+        boots.came_up(RIG, "za", 4 * READY_S, float(i))
+    late_s = boots.expected_s(RIG, "za", 8.0)
+    assert 3.5 * READY_S < late_s < 4 * READY_S and boots.expected_s(RIG, "zb", 8.0) == READY_S
+    assert boots.expected_s(RIG, "za", 8.0 + 3 * MEMORY_BOOTS * READY_S) < 1.2 * READY_S
+    for i in range(8):
+        boots.came_up(RIG, "za", READY_S, 10.0 + i)
+    assert boots.expected_s(RIG, "za", 18.0) < 1.25 * READY_S
+
+
+def test_one_that_is_overdue_tells_of_the_others_before_it_is_up():
+    boots = BootTimes()
+    boots.still_starting(RIG, "za", 1.4 * READY_S)
+    assert boots.expected_s(RIG, "za", 0.0) == READY_S
+    boots.still_starting(RIG, "za", 3.0 * READY_S)
+    assert boots.expected_s(RIG, "za", 0.0) == pytest.approx(3.0 * READY_S)
+    boots.begin_look()
+    assert boots.expected_s(RIG, "za", 0.0) == READY_S
+
+
+def _rented_in(seed: int, monkeypatch, learns: bool) -> tuple[float, int]:
+    """Share of machines rented in a zone in which none comes up, once that can be known; and how many in all."""
+    if not learns:
+        monkeypatch.setattr(BootTimes, "expected_s", lambda self, rig, zone, now: rig.ready_s)
+    world = World(seed, limit=1e6)
+    world.cloud.dead_zones = {"za"}
+    world.cloud.room = 20
+    for i in range(60):
+        world.at(4.0 * i, lambda: world.submit(plays=8, expected_s=12.0, **ALIKE | {"vcpus": 4.0}))
+    world.run(60.0)
+    before = dict(world.cloud.rented)
+    world.run(180.0)
+    rented = {zone: world.cloud.rented[zone] - before.get(zone, 0) for zone in ("za", "zb")}
+    return rented["za"] / max(1, sum(rented.values())), sum(world.cloud.rented.values())
+
+
+def test_demand_goes_where_machines_come_up(monkeypatch):
+    with monkeypatch.context() as patch:
+        without = [_rented_in(seed, patch, learns=False)[0] for seed in range(3)]
+    with_ = [_rented_in(seed, monkeypatch, learns=True)[0] for seed in range(3)]
+    assert sum(with_) < 0.5 * sum(without)
