--- a/tealhook/jobs/attempts.py
+++ b/tealhook/jobs/attempts.py
@@ -171,7 +171,9 @@
                 steps = min(job.failures - PATIENT_FAILURES, MOST_BACKOFF_STEPS)
                 pause = self._workers.report_s * 2**steps
                 job.not_before = now + pause * (0.75 + 0.5 * self._fx.rng.random())
-            log.info("%s/%d failed on %s", job.id, attempt.index, attempt.machine)
+            log.debug("%s/%d failed on %s", job.id, attempt.index, attempt.machine)
+            if job.failures == PATIENT_FAILURES:  # once, however often it fails from now on
+                log.info("%s: %d tasks failed and none is done: tried one at a time", job.id, job.failures)
         elif cause in ("full", "busy", "unknown"):
             log.info("%s/%d refused by %s: %s", job.id, attempt.index, attempt.machine, cause)
             job.not_before = max(job.not_before, now + self._workers.report_s / 2)
