Making room by tasks that save takes the first machines that have such

For each task the offers of all machines were worked out and compared, though all tasks that save lose about as little.

Now the first machines that have such tasks are taken, and which tasks those are is kept with the machine until something changes there. Stopping tasks that lose their work goes by the least loss as before.

--- a/tealhook/parts/machine.py
+++ b/tealhook/parts/machine.py
@@ -95,12 +95,13 @@
         self.news = True  # something changed since the homes were told
         self.free: list[float] | None = None  # room left, until something changes
         self.ends: list[tuple[float, Need]] | None = None  # when its tasks should end, until something changes
+        self.savers: list[Held] | None = None  # tasks that save and may be stopped, until something changes
         self.fits: dict[Need, tuple[int, float]] = {}  # tasks of a need that fit, or from when; likewise
 
     def touch(self) -> None:
         """Something on the machine changed."""
         self.news = True
-        self.free = self.ends = None
+        self.free = self.ends = self.savers = None
         self.fits.clear()
 
     def usable(self, now: float, patience: float) -> bool:
--- a/tealhook/parts/preemption.py
+++ b/tealhook/parts/preemption.py
@@ -55,6 +55,21 @@
         """Whether a task saves its progress when it is stopped, so that little is lost."""
         return self._book.active[held.job].spec.snapshot_every_s > 0
 
+    def _stoppable(self, machine: Machine) -> list[Held]:
+        return [
+            held
+            for held in machine.held.values()
+            if held.alive
+            and not (held.yields_to or held.firm or held.status == "flushing")
+            and held.job in self._book.active
+        ]
+
+    def _savers(self, machine: Machine) -> list[Held]:
+        """Tasks on a machine that save and may be stopped; looked for once, until something changes there."""
+        if machine.savers is None:
+            machine.savers = [held for held in self._stoppable(machine) if self._saves(held)]
+        return machine.savers
+
     @staticmethod
     def _ran(held: Held, now: float) -> float:
         return now - held.ran_from if held.ran_from else 0.0
@@ -85,14 +100,13 @@
         lost = 0.0
         victims: list[Held] = []
         over: dict[str, float] = {}
-        stoppable = [
-            h for h in machine.held.values() if h.alive and not (h.yields_to or h.firm or h.status == "flushing")
-        ]
-        # One that has run for long is nearer to its end than to its beginning: room frees sooner than it is worth. Not
-        # so one that saves its progress: tasks of minutes once kept all others' room, since they had run for too long.
-        longest = max(WORTH_STOPPING * want.shape.run_s, self._workers.lease_s)
-        stoppable = [h for h in stoppable if h.job in self._book.active]
-        stoppable = [h for h in stoppable if self._saves(h) or want.preempt and self._ran(h, now) <= longest]
+        if want.preempt:
+            # One that has run for long is nearer to its end than to its beginning: room frees sooner than it is worth.
+            # Not so one that saves its progress: tasks of minutes once kept all others' room, having run for too long.
+            longest = max(WORTH_STOPPING * want.shape.run_s, self._workers.lease_s)
+            stoppable = [h for h in self._stoppable(machine) if self._saves(h) or self._ran(h, now) <= longest]
+        else:
+            stoppable = [h for h in self._savers(machine) if h.job in self._book.active]
         for loss, held in sorted(((self._lost(h, now), h) for h in stoppable), key=lambda pair: pair[0]):
             if fits(room, need):
                 break
--- a/tealhook/parts/room.py
+++ b/tealhook/parts/room.py
@@ -321,7 +321,8 @@
             given.extend(self._book_room(machine, want, need, [], now) for _ in range(count))
             free.set_left(machine, without(free.left(machine), need, count))
         if missing > 0 and self._preemption.allowed(want):
-            self._preempt(want, need, list(self._candidates(want, free, now)), free, given, now)
+            preempt = self._preempt if want.preempt else self._preempt_savers
+            preempt(want, need, list(self._candidates(want, free, now)), free, given, now)
         if want.aged and len(given) < want.count:
             self._hold(want, need, list(self._candidates(want, free, now)), now)
         return given
@@ -380,6 +381,29 @@
             given.append(self._book_room(machine, want, need, offer.victims, now))
             heapq.heappush(offers, (lost, order, machine))
 
+    def _preempt_savers(
+        self,
+        want: mesh.Want,
+        need: Need,
+        candidates: list[Machine],
+        free: FreeRoom,
+        given: list[mesh.Slot],
+        now: float,
+    ) -> None:
+        """Stop less urgent tasks that save their progress, on the first machines that have such.
+
+        All lose about as little, so the offers of hundreds of machines are not worked out for each task.
+        """
+        for machine in candidates:
+            while len(given) < want.count:
+                offer = self._preemption.offer(machine, want, need, free.left(machine), now)
+                if offer is None:
+                    break
+                free.set_left(machine, without(offer.room, need))
+                given.append(self._book_room(machine, want, need, offer.victims, now))
+            if len(given) >= want.count:
+                return
+
     def _hold(self, want: mesh.Want, need: Need, candidates: list[Machine], now: float) -> None:
         """An aged task holds the room of the machine that will be free for it first."""
         for machine in candidates:
