--- a/tealhook/jobs/admission.py
+++ b/tealhook/jobs/admission.py
@@ -16,7 +16,7 @@
 from tealhook.jobs.submissions import Submission, lay_out, why_too_large
 from tealhook.loop.effects import Effects
 from tealhook.settings import Settings
-from tealhook.store import Outcome, Priority, StateClient, Versions
+from tealhook.store import Outcome, Priority, ReadIndex, StateClient, Versions
 from tealhook.wire import state as state_wire
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.common import dumps, error_body
@@ -49,6 +49,7 @@
         self._store = store
         self._book = book
         self._records = JobRecords(effects, store, book)
+        self._read_index = ReadIndex(effects, settings, book.watcher, READ_TIMEOUT_S)
         self._types = types
         self._progress = progress
         self._versions = versions
@@ -208,7 +209,28 @@
         self._read(job, read)
 
     def _read(self, job: str, done: OnRecord) -> None:
-        """Read a job's record while its user waits for an answer."""
+        """Learn what became of a job while its user waits for an answer.
+
+        Questions that come at about the same time share one call, which brings the view of all records up to date. A
+        record is read by itself only where that view may lack it.
+        """
+
+        def refreshed(fresh: bool) -> None:
+            if not fresh:
+                done("unknown", None, 0)
+            elif self._book.status(job) is not None:
+                done("ok", None, 0)
+            elif self._book.complete:
+                done("absent", None, 0)
+            else:
+                self._read_alone(job, done)
+
+        if self._book.synced:
+            self._read_index.read(refreshed)
+        else:
+            self._read_alone(job, done)
+
+    def _read_alone(self, job: str, done: OnRecord) -> None:
         self._records.read(job, done, Priority.ADMIT, LONGEST_WAIT_S, READ_TIMEOUT_S)
 
     def _never(self, spec: JobSpec) -> str | None:
--- a/tealhook/jobs/index.py
+++ b/tealhook/jobs/index.py
@@ -21,7 +21,9 @@
 
 JOBS = "job/"
 ACTIVE, DONE, CANCELLED = "active", "done", "cancelled"
-MAX_ENDED = 20_000  # terminal states kept in memory to save a read; the store keeps them all
+LEAST_ENDED = 20_000  # terminal states kept in memory to save a read; the store keeps them all
+ENDED_BYTES = 400  # about what one takes
+ENDED_SHARE = 1 / 8  # of the memory
 
 
 def job_key(job: str) -> str:
@@ -97,6 +99,9 @@
     def __init__(self, effects: Effects, settings: Settings, store: StateClient) -> None:
         """An empty view; `start` fills it and keeps it up to date."""
         self._fx = effects
+        memory_bytes = settings.params.limits.mem_mb * 2**20
+        self._max_ended = max(LEAST_ENDED, int(memory_bytes * ENDED_SHARE / ENDED_BYTES))
+        self.complete = True  # no job has been forgotten, and no record was unreadable: what is lacking does not exist
         self.active: dict[str, JobEntry] = {}
         self.ended: OrderedDict[str, tuple[str, str, float]] = OrderedDict()  # id -> (status, team, time of day)
         self._needed_by: dict[str, dict[str, None]] = {}  # job -> active jobs that wait for it, in order
@@ -154,8 +159,9 @@
     def _end(self, job: str, record: JobRecord) -> None:
         known = self.active.pop(job, None)
         self.ended[job] = (record.st, record.t, record.at)
-        while len(self.ended) > MAX_ENDED:
+        while len(self.ended) > self._max_ended:
             self.ended.popitem(last=False)
+            self.complete = False
         self._names.pop(job, None)
         if known is not None:
             for name in known.spec.waits_on:
@@ -283,6 +289,8 @@
             record = parse_record(value)
             if record is not None:
                 self.learn(job, record, stamp)
+            else:
+                self.complete = False
             return
         try:
             names = msgspec.convert(value, MoreNames).w
--- a/tealhook/store/client.py
+++ b/tealhook/store/client.py
@@ -119,9 +119,21 @@
         ask("")
 
     def watch(
-        self, prefix: str, after: int, wait_s: float, done: Callable[[WatchKind, wire.Watched | None], Any]
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        done: Callable[[WatchKind, wire.Watched | None], Any],
+        *,
+        priority: Priority = Priority.ADMIT,
+        queue_s: float = 5.0,
+        spare_s: float = CALL_TIMEOUT_S,
     ) -> None:
-        """`done("ok", watched)`, `done("old", None)` or `done("unknown", None)`."""
+        """`done("ok", watched)`, `done("old", None)` or `done("unknown", None)`.
+
+        `wait_s`: how long the service may hold the call while nothing changes; 0 asks for what has changed so far.
+        `queue_s`: for tokens; `spare_s`: for the answer, beyond `wait_s`.
+        """
 
         def answer(status: int | None, body: bytes) -> None:
             if status == 200:
@@ -133,7 +145,7 @@
             done("old" if status == 410 else "unknown", None)
 
         target = f"/watch?starts={quote(prefix, safe='/')}&after={after}&wait_ms={int(wait_s * 1000)}"
-        self._submit(Priority.ADMIT, "GET", target, None, 0, 5.0, wait_s + CALL_TIMEOUT_S, answer)
+        self._submit(priority, "GET", target, None, 0, queue_s, wait_s + spare_s, answer)
 
     # -- changes
 
--- a/tealhook/store/watcher.py
+++ b/tealhook/store/watcher.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 from tealhook.loop.effects import Effects
-from tealhook.store.client import StateClient, WatchKind
+from tealhook.store.client import Priority, StateClient, WatchKind
 from tealhook.wire import state as wire
 
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
+REFRESH_WAIT_S = 1.0  # for tokens
 
 
 class Watcher:
@@ -49,6 +50,28 @@
         """Seconds since the view was certainly complete."""
         return self._effects.now() - self.viewed_at
 
+    def refresh(self, timeout_s: float, done: Callable[[bool], Any]) -> None:
+        """Bring the view up to date with one call; `done(whether it shows all that was written before this call)`."""
+        sent = self._effects.now()
+
+        def answered(kind: WatchKind, watched: wire.Watched | None) -> None:
+            if watched is not None:
+                self._advance(watched, sent)
+            # An answer that waited in a buffer while this process stood still is as old as that.
+            done(watched is not None and self._effects.now() - sent <= timeout_s + REFRESH_WAIT_S)
+
+        self._store.watch(
+            self._prefix, self._epoch, 0.0, answered, priority=Priority.ADMIT, queue_s=REFRESH_WAIT_S, spare_s=timeout_s
+        )
+
+    def _advance(self, watched: wire.Watched, sent: float) -> None:
+        """Take in the answer to a watch asked for at `sent`. Answers may come in another order than they were asked."""
+        self._failures = 0
+        self._epoch = max(self._epoch, watched.epoch)
+        self.viewed_at = max(self.viewed_at, sent)
+        if watched.events:
+            self._on_events(watched.events)
+
     def _retry(self, call: Callable[[], Any]) -> None:
         self._failures += 1
         pause = min(MAX_RETRY_S, RETRY_S * self._failures)
@@ -80,11 +103,7 @@
             if watched is None:
                 self._retry(self._watch)
                 return
-            self._failures = 0
-            self._epoch = max(self._epoch, watched.epoch)
-            self.viewed_at = sent
-            if watched.events:
-                self._on_events(watched.events)
+            self._advance(watched, sent)
             self._watch()
 
         self._store.watch(self._prefix, self._epoch, self._wait_s, done)
--- a/tests/simulation/requests.py
+++ b/tests/simulation/requests.py
@@ -12,3 +12,8 @@
     request = (version or present()).request(method, target, {}, True)
     request.body = body or b""
     return request
+
+
+def reads_jobs(target: str) -> bool:
+    """Whether a request asks the state service for what became of jobs, for users who wait for an answer."""
+    return target.startswith("/store/job/") or target.startswith("/watch?starts=job/") and "wait_ms=0" in target
--- /dev/null
+++ b/tests/test_read_index.py
@@ -0,0 +1,117 @@
+"""Many times the questions: calls to the state service grow with time, not with the number of questions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from tealhook.store import ReadIndex
+from tests.simulation.requests import make_request, reads_jobs
+from tests.users import ALIKE
+from tests.world import Broken, World, random_run
+
+STORM_S = 10.0
+
+
+def _settled(seed: int, nodes: int = 1) -> tuple[World, str]:
+    """A world with one long job that is accepted."""
+    world = World(seed, nodes=nodes)
+    world.run(20.0)
+    job = world.submit(plays=2, expected_s=200.0, **ALIKE)
+    world.run(10.0)
+    assert world.jobs[job].accepted
+    return world, job
+
+
+def _count_reads(world: World, carry_out: Callable[[int], bool] = lambda _number: True) -> list[float]:
+    """When each read of job records was sent; those that are not carried out get no answer."""
+    sent: list[float] = []
+    whole = world.state.handle
+
+    def handle(node, method, target, body, answer):
+        if reads_jobs(target):
+            sent.append(world.now)
+            if not carry_out(len(sent)):
+                return
+        whole(node, method, target, body, answer)
+
+    world.state.handle = handle
+    return sent
+
+
+def _ask(world: World, job: str, node: str = "n0") -> list[tuple[float, int]]:
+    """Ask one node about a job; when it answered, and how, once it has."""
+    answers: list[tuple[float, int]] = []
+    world.nodes[node].on_request(
+        make_request("GET", f"/work/{job}", b""),
+        lambda status, data=b"{}", after=None: answers.append((world.now, status)),
+    )
+    return answers
+
+
+def _storm(world: World, job: str, questions: int) -> list[list[tuple[float, int]]]:
+    """So many questions within `STORM_S`, half of them about a job that nobody submitted."""
+    asked: list[list[tuple[float, int]]] = []
+    for i in range(questions):
+        name = job if i % 2 else f"req-none-{i}"
+        world.at(i * STORM_S / questions, lambda name=name: asked.append(_ask(world, name)))
+    world.run(STORM_S + 2.0)
+    return asked
+
+
+@pytest.mark.parametrize("questions", [200, 2000])
+def test_the_cost_of_a_storm_grows_with_time_alone(questions):
+    world, job = _settled(71)
+    reads = _count_reads(world)
+    asked = _storm(world, job, questions)
+    assert [answers[0][1] for answers in asked] == [404, 200] * (questions // 2)
+    params = world.settings.params.state
+    assert len(reads) <= 0.2 * params.rps * (STORM_S + 1.0)  # a fifth of one node's share of the budget
+
+
+def test_a_read_without_an_answer_holds_up_no_others():
+    world, job = _settled(72)
+    reads = _count_reads(world, carry_out=lambda number: number != 1)
+    lost = _ask(world, job)
+    world.run(0.01)
+    next_ = _ask(world, job)
+    asked_at = world.now
+    world.run(1.0)
+    assert len(reads) == 2 and lost == []
+    assert next_[0][1] == 200 and next_[0][0] - asked_at < 0.6
+    world.run(2.0)
+    assert lost[0][1] == 503  # at last, and then the user asks again
+
+
+@pytest.mark.parametrize("seed", range(73, 79))
+def test_an_answer_that_waited_while_the_controller_stood_still_is_not_given(seed):
+    """Whether its sockets or its timers come first when it goes on."""
+    world, job = _settled(seed)
+    whole = world.state.handle
+
+    def handle(node, method, target, body, answer):
+        if reads_jobs(target):
+            whole(node, method, target, body, lambda status, data: world.at(30.0, lambda: answer(status, data)))
+        else:
+            whole(node, method, target, body, answer)
+
+    world.state.handle = handle
+    answers = _ask(world, job)
+    world.run(0.2)
+    world.state.handle = whole
+    world.freeze("n0", 40.0)
+    world.run(45.0)
+    assert [status for _, status in answers] == [503]
+
+
+def _answer_by_the_old_view(patch):
+    patch.setattr(ReadIndex, "read", lambda self, done: done(True))
+
+
+def test_to_answer_without_a_read_is_found_out(monkeypatch):
+    """Guards against a node that answers older than another one has: its view of all records lags."""
+    _answer_by_the_old_view(monkeypatch)
+    with pytest.raises(Broken, match="went_back|forgotten|invented"):
+        for seed in range(30):
+            random_run(seed, guarantee=0.0, slowest=0.25 if seed % 2 else 0.01, lossy=0.3 if seed % 4 > 1 else 0.0)
