--- a/tealhook/store/watcher.py
+++ b/tealhook/store/watcher.py
@@ -12,6 +12,7 @@
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
 REFRESH_WAIT_S = 1.0  # for tokens
+SERVED_WAITS = 4  # of the time for which a watch is held open: the service that answered anything since is up
 LIST_AFTER = 3  # watches without an answer, one after the other, while the service answers other calls
 
 
@@ -76,6 +77,11 @@
         if watched.events:
             self._on_events(watched.events)
 
+    def _is_hopeless(self) -> bool:
+        """Whether watches go unanswered though the service has answered other calls lately: no outage, no cut."""
+        lately = self._effects.now() - self._store.answered_at < SERVED_WAITS * self._wait_s
+        return self._failures >= LIST_AFTER and lately
+
     def _retry(self, call: Callable[[], Any]) -> None:
         self._failures += 1
         pause = min(MAX_RETRY_S, RETRY_S * self._failures)
@@ -105,7 +111,7 @@
                 self._list()
                 return
             if watched is None:
-                self._retry(self._list if self._failures >= LIST_AFTER and self._store.served else self._watch)
+                self._retry(self._list if self._is_hopeless() else self._watch)
                 return
             self._advance(watched, sent)
             self._watch()
--- /dev/null
+++ b/tests/test_thousands.py
@@ -0,0 +1,291 @@
+"""About 4,000 machines, also all of them with one controller: rules hold, tables forget nothing that matters.
+
+What is counted are calls, bytes and steps, not seconds.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+
+import pytest
+
+from tealhook.http import HttpServer
+from tealhook.jobs.index import JobEntry
+from tealhook.loop import Loop
+from tealhook.mesh import transport
+from tealhook.parts import manager
+from tealhook.parts.calls import Calls
+from tealhook.parts.machine import Machine
+from tealhook.parts.partition import Partition
+from tealhook.parts.room import Room
+from tealhook.store import part_key
+from tealhook.store.watcher import LIST_AFTER
+from tealhook.wire import mesh, workers
+from tealhook.wire.users import parse_job
+from tests.simulation.requests import make_request, reads_jobs
+from tests.test_bad_input import FIELDS, text
+from tests.users import ALIKE
+from tests.world import World
+
+MACHINES = 4000
+ZONE = "za"
+
+
+def _report(i: int, token: int, sequence: int, plays: list[dict] | None = None, zone: str = ZONE) -> bytes:
+    body = {
+        "box": f"host-9{i:05d}",
+        "addr": f"10.1.{i // 250}.{i % 250}:9000",
+        "rig": "small",
+        "yard": zone,
+        "loaners": True,
+        "shift": 1,
+        "tick": sequence,
+        "baton": token,
+        "warning_s": None,
+        "plays": plays or [],
+    }
+    return json.dumps(body).encode()
+
+
+class _Fleet:
+    """One controller that owns everything, and the reports of all machines, made to it directly."""
+
+    def __init__(self, seed: int, nodes: int = 1) -> None:
+        self.world = World(seed, nodes=nodes, report_s=2.5, lease_s=15.0, cancel_s=40.0)
+        self.world.run(12.0)
+        self.node = self.world.nodes["n0"]
+        self.sequence = 0
+
+    @property
+    def partition(self) -> Partition:
+        return self.node.parts.parts[ZONE]
+
+    def report_all(self, plays: dict[int, list[dict]] | None = None, seconds: float = 2.0) -> list[list[int]]:
+        """Each machine reports once within so many seconds; the statuses of the answers, by machine."""
+        self.sequence += 1
+        token = self.partition.token
+        statuses: list[list[int]] = [[] for _ in range(MACHINES)]
+        self.answers: list[bytes] = [b""] * MACHINES
+
+        def report(i: int) -> None:
+            def answered(status: int, data: bytes = b"{}", _after: int | None = None) -> None:
+                statuses[i].append(status)
+                self.answers[i] = data
+
+            body = _report(i, token, self.sequence, (plays or {}).get(i))
+            self.node.on_request(make_request("POST", "/v1/report", body), answered)
+
+        for i in range(MACHINES):
+            self.world.at(seconds * i / MACHINES, lambda i=i: report(i))
+        self.world.run(seconds + 2.5)
+        return statuses
+
+
+def test_all_join_one_controller_within_a_report_period(monkeypatch):
+    """Each is answered once, and is of use after the report that shows the token; what fits is worked out once each."""
+    fleet = _Fleet(91)
+    worked: list[str] = []
+    whole = Room._fit_on
+    monkeypatch.setattr(Room, "_fit_on", lambda self, m, need: worked.append(m.name) or whole(self, m, need))
+    for _ in range(2):
+        assert fleet.report_all() == [[200]] * MACHINES
+    room = fleet.partition.room
+    assert sum(machine.sure for machine in fleet.partition.machines.values()) == MACHINES
+    shape = mesh.Shape(4.0, 0.0, 4.0, "img", 0.6, True, (), 1, 5.0)
+    assert room.ask([shape]).rooms[0].uncached == 2 * MACHINES
+    assert len(worked) == MACHINES
+    worked.clear()
+    want = mesh.Want("req-000001", "team-0", shape, 7, False, False, [], 1, False, False)
+    slots = room.reserve(mesh.Reserve(ZONE, [want])).slots[0]
+    assert len(slots) == 7
+    assert room.ask([shape]).rooms[0].uncached == 2 * MACHINES - 7
+    assert len(worked) == 4  # the machines that were used
+
+
+def test_the_gossip_of_all_of_them_fits_a_frame_and_the_queue():
+    fleet = _Fleet(92)
+    for _ in range(2):
+        fleet.report_all()
+    states = fleet.partition.states()
+    assert len(states) == MACHINES
+    addrs = {ZONE: {machine.name: machine.addr for machine in fleet.partition.machines.values()}}
+    body = mesh.Gossip("n0", 0.0, {}, [], [], {ZONE: states}, {}, addrs)
+    frame = mesh.envelope_encoder.encode(mesh.Envelope("n0", 1, 1, 0, body))
+    assert 3 * len(frame) < mesh.MAX_FRAME < transport.MAX_QUEUED  # half as many machines again, and twice the room
+
+
+def _spec(job: str) -> dict:
+    return json.loads(text(FIELDS | {"name_id": f'"{job}"', "plays": str(MACHINES), "vcpus": "4.0"}))
+
+
+def test_a_wave_of_cancellations_reaches_every_machine_with_its_next_answer():
+    """Also beside a storm of questions, whose cost does not grow with their number."""
+    fleet = _Fleet(93)
+    world, node = fleet.world, fleet.node
+    jobs = [f"req-w{i}" for i in range(50)]
+    for job in jobs:
+        node.book.active[job] = JobEntry(parse_job(json.dumps(_spec(job)).encode()), "team-0", 1, 0.0)
+    plays = {
+        i: [
+            {"play": f"{jobs[i % 50]}/{i}", "try": 1, "status": "running"},
+            {"play": f"{jobs[(i + 1) % 50]}/{i}", "try": 1, "status": "running"},
+        ]
+        for i in range(MACHINES)
+    }
+    for _ in range(2):
+        assert fleet.report_all(plays) == [[200]] * MACHINES
+    for job in jobs:
+        del node.book.active[job]
+        node.book.ended[job] = ("cancelled", "team-0", 0.0)
+    reads: list[str] = []
+    whole = world.state.handle
+    world.state.handle = lambda who, method, target, body, answer: (
+        reads.append(target) if reads_jobs(target) else None,
+        whole(who, method, target, body, answer),
+    )
+    asked: list[int] = []
+    for i in range(3000):
+        request = make_request("GET", f"/work/req-none-{i}", b"")
+        world.at(
+            i / 1000, lambda request=request: node.on_request(request, lambda status, *_rest: asked.append(status))
+        )
+    assert fleet.report_all(plays) == [[200]] * MACHINES
+    for i, answer in enumerate(fleet.answers):
+        killed = {order["play"] for order in json.loads(answer)["orders"] if order["verb"] == "kill"}
+        assert killed == {play["play"] for play in plays[i]}
+    assert asked == [404] * 3000
+    assert len(reads) <= 0.2 * 150.0 * 5.0
+
+
+def test_a_node_that_owns_nothing_sends_thousands_on_and_forgets_none_of_them():
+    """Guards against a table that was cleared whole at 4,096: machines were sent back to an owner they can't reach."""
+    fleet = _Fleet(94, nodes=2)
+    zone = next(z for z in ("za", "zb") if fleet.node.ownership.owner(part_key(z)) != "n0")
+    count = int(1.5 * MACHINES)
+    answered: list[int] = []
+    for i in range(count):
+        body = _report(i, 0, 1, zone=zone)
+        fleet.node.on_request(make_request("POST", "/v1/report", body), lambda status, *_rest: answered.append(status))
+    assert answered == [421] * count
+    assert len(fleet.node.parts._sent_on) == count > manager.LEAST_TRACKED
+    fleet.world.run(5 * 15.0)
+    for i in range(count, count + 10):
+        fleet.node.on_request(make_request("POST", "/v1/report", _report(i, 0, 1, zone=zone)), lambda *_answer: None)
+    for _ in range(3):  # what is old goes when the table grows
+        fleet.node.parts._most_tracked = manager.LEAST_TRACKED
+        fleet.node.on_request(make_request("POST", "/v1/report", _report(1, 0, 2, zone=zone)), lambda *_answer: None)
+    assert len(fleet.node.parts._sent_on) <= 12
+
+
+def test_released_names_are_remembered_for_as_long_as_copies_come(monkeypatch):
+    fleet = _Fleet(95)
+    parts = fleet.node.parts
+    names = [f"host-9{i:05d}" for i in range(2 * manager.LEAST_GONE)]
+    for name in names:
+        parts.forget(name)
+    statuses: list[int] = []
+    for i in (0, len(names) - 1):
+        request = make_request("POST", "/v1/report", _report(i, fleet.partition.token, 1))
+        fleet.node.on_request(request, lambda status, *_rest: statuses.append(status))
+    assert statuses == [503, 503]
+    fleet.world.run(manager.GONE_LEASES * 15.0 + 1.0)
+    parts.forget("host-one-more")
+    assert len(parts._gone) <= manager.LEAST_GONE
+
+
+def test_at_a_takeover_workers_are_called_as_connections_allow_and_none_is_left_out():
+    fleet = _Fleet(96)
+    world, effects = fleet.world, fleet.node._effects
+    under_way: list[str] = []
+    most: list[int] = []
+    called: set[str] = set()
+
+    def worker(addr, method, target, body, timeout, answer):
+        if target == "/show":
+            called.add(addr)
+            under_way.append(addr)
+            most.append(len(under_way))
+            world.at(0.01, lambda: (under_way.remove(addr), answer(None, b"")))
+
+    effects.worker = worker
+    calls = Calls(effects, fleet.node.settings, 7, {})
+    world.run(10.0)
+    addrs = {f"host-{i}": f"10.1.{i // 250}.{i % 250}:9000" for i in range(MACHINES)}
+    calls.call_in(addrs)
+    world.run(8.0)
+    assert called == set(addrs.values())
+    assert max(most) <= fleet.node.settings.params.limits.max_connections // 16
+
+
+class _Server:
+    """A server on loopback with few connections."""
+
+    def __init__(self, short: str | None) -> None:
+        self.loop = Loop()
+        self.server = HttpServer(
+            self.loop,
+            "127.0.0.1:0",
+            lambda _request, reply: reply(200, b"{}"),
+            max_connections=16,
+            idle_s=60.0,
+            short_when_crowded=short,
+        )
+        self.addr = self.server._sock.getsockname()
+        threading.Thread(target=self.loop.run, daemon=True).start()
+
+    def ask(self, target: str) -> tuple[socket.socket, bytes]:
+        client = socket.create_connection(self.addr, timeout=5.0)
+        client.sendall(f"POST {target} HTTP/1.1\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+        return client, client.recv(4096)
+
+
+def test_with_more_workers_than_connections_reports_are_told_that_theirs_closes():
+    """Users keep theirs; a worker's is not closed just as its next report is on its way."""
+    server = _Server("/v1/report")
+    users = [server.ask("/work")[0] for _ in range(13)]
+    told = [server.ask("/v1/report") for _ in range(40)]
+    assert all(b"connection: close" in answer.lower() for _, answer in told)
+    again = [user.sendall(b"GET /work HTTP/1.1\r\n\r\n") or user.recv(4096) for user in users]
+    assert all(b"200 OK" in answer for answer in again)
+    for client in (*users, *(worker for worker, _ in told)):
+        client.close()
+    server.loop.stop()
+
+
+def test_while_connections_are_plentiful_reports_keep_theirs():
+    server = _Server("/v1/report")
+    client, answer = server.ask("/v1/report")
+    assert b"connection: close" not in answer.lower()
+    client.close()
+    server.loop.stop()
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_records_are_listed_when_the_answer_to_a_watch_can_never_be_taken(listed, monkeypatch):
+    """Guards against a node that asked for ever for an answer that is too large for it, and never learned anything."""
+    if not listed:
+        monkeypatch.setattr("tealhook.store.watcher.LIST_AFTER", 10**9)
+    world = World(97, nodes=1)
+    world.run(15.0)
+    whole = world.state.handle
+
+    def handle(node, method, target, body, answer):
+        if target.startswith("/watch?starts=job/"):
+            world.at(0.05, lambda: answer(None, b""))
+        else:
+            whole(node, method, target, body, answer)
+
+    node = world.nodes["n0"]
+    world.state.handle = handle
+    job = world.submit(plays=1, expected_s=2.0, **ALIKE)
+    world.run(2.0 * LIST_AFTER + 20.0)
+    assert (node.book.watcher.age() < 8.0) == listed
+    assert not listed or world.jobs[job].accepted
+
+
+def test_machines_are_known_by_reports_alone():
+    """The stand-ins' reports are read as those of workers are."""
+    report = workers.report_decoder.decode(_report(1, 7, 3))
+    assert Machine(report, 0.0).name == "host-900001" and report.baton == 7
