--- a/tests/test_mistaken_jobs.py
+++ b/tests/test_mistaken_jobs.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tealhook.controller import Controller
-from tests.test_pipelines import run_until
+from tests.pipeline_steps import run_until
 from tests.users import ALIKE
 from tests.world import World
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests import pipelines
+from tests.pipeline_steps import LONG, QUICK, end_in, run_until
 from tests.standins import StateService
-from tests.test_pipelines import LONG, QUICK, end_in, run_until
 from tests.troubles import KINDS, all_calm, mixed_run, owners, until_done
 from tests.users import PLAIN
 from tests.versions import MissingCommitError, Version, archived, extract, present, production, production_commit
--- /dev/null
+++ b/tests/test_pipelines_names.py
@@ -0,0 +1,318 @@
+"""Jobs that wait for others: the names that they list, what is sent, and two versions side by side."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import pytest
+
+from tealhook.jobs import index
+from tests import pipelines
+from tests.pipeline_steps import (
+    LONG,
+    QUICK,
+    TEAMS,
+    all_over,
+    cancelled,
+    end_in,
+    finals,
+    hear_late,
+    home_of,
+    run_until,
+    running,
+    settled,
+    submit,
+)
+from tests.simulation.requests import reads_jobs
+from tests.test_bad_input import FIELDS, Desk, text
+from tests.users import PLAIN
+from tests.world import World, make_request
+
+# -- names
+
+
+def _forgotten(world: World, names: list[str]) -> None:
+    """Jobs come and end until no node remembers the end of any of these."""
+    for _ in range(10):
+        for team in TEAMS:
+            submit(world, crew=team)
+        world.run(10.0)
+        if not any(set(node.book.ended) & set(names) for node in world.nodes.values()):
+            return
+    raise AssertionError("not forgotten")
+
+
+def test_ends_are_read_once_they_are_forgotten(monkeypatch):
+    """The nodes' memory of ended jobs is bounded; names that fell out of it count as before."""
+    monkeypatch.setattr(index, "LEAST_ENDED", 2)
+    monkeypatch.setattr(index, "ENDED_SHARE", 0.0)
+    world = settled(11)
+    done = [submit(world, crew=team) for team in TEAMS]
+    called_off = submit(world, **LONG)
+    cancelled(world, called_off)
+    held_by = submit(world, crew="team-0", **LONG)
+    held = [submit(world, [*done, held_by], crew=team) for team in TEAMS]
+    run_until(world, lambda: all(world.jobs[job_id].final == "done" for job_id in done))
+    _forgotten(world, [*done, called_off])
+    assert all(len(node.book.ended) == 2 for node in world.nodes.values())
+    after = [submit(world, [name], crew="team-1") for name in done]
+    lost = submit(world, [called_off, done[0]], crew="team-2")
+    end_in(world, held_by, 1.0)
+    all_over(world)
+    assert set(finals(world, [*held, *after])) == {"done"}
+    assert finals(world, [lost]) == ["cancelled"]
+
+
+def test_every_node_answers_about_jobs_whose_names_are_forgotten(monkeypatch):
+    """Also those that don't own their home: a memory that is too small is no reason to say nothing for ever."""
+    monkeypatch.setattr(index, "LEAST_ENDED", 2)
+    monkeypatch.setattr(index, "ENDED_SHARE", 0.0)
+    world = settled(18)
+    done = submit(world)
+    run_until(world, lambda: world.jobs[done].final == "done")
+    _forgotten(world, [done])
+    wait_for = submit(world, **LONG)
+    held = submit(world, [done, wait_for], crew="team-1")
+    world.run(20.0)
+    silent = set(world.names)
+
+    def ask(node: str) -> None:
+        world.question(held, node, lambda status: silent.discard(node) if status == 200 else None)
+
+    for i in range(20):
+        for node in world.names:
+            world.at(i * 1.0, lambda node=node: ask(node))
+    world.run(25.0)
+    assert silent == set()
+
+
+@pytest.mark.parametrize("value_kb", [8.0, 2.0])
+def test_a_job_may_name_hundreds(value_kb):
+    """Also when its home has changed hands; one of them being cancelled, so is it."""
+    world = settled(12, room=6, limit=96.0, wps=80.0, value_kb=value_kb)
+    open_ = [submit(world, **LONG) for _ in range(2)]
+    names = []
+    for i in range(298):
+        world.at(0.1 * i, lambda i=i: names.append(world.submit(**PLAIN | QUICK | {"crew": TEAMS[i % 3]})))
+    world.run(60.0)
+    last = submit(world, [open_[0], *names, open_[1]], crew="team-1")
+    other = submit(world, [open_[0], *names], crew="team-2")
+    assert len(world.jobs[last].needs()) == 300
+    sizes = [len(json.dumps(row[0])) for key, row in world.state.rows.items() if key.startswith("job/")]
+    assert max(sizes) < 1.2 * 1024 * value_kb
+    for team in ("team-1", "team-2"):
+        world.crash(home_of(world, team), 5.0)
+        world.run(15.0)
+    run_until(world, lambda: set(finals(world, names)) == {"done"}, 200.0)
+    world.run(20.0)
+    assert world.jobs[last].started_at is None and world.jobs[other].started_at is None
+    cancelled(world, open_[1])
+    end_in(world, open_[0], 1.0)
+    all_over(world)
+    assert finals(world, [last, other]) == ["cancelled", "done"]
+
+
+# -- what is sent
+
+NEW = '"req-none-such"'
+# (the field as it is sent, status)
+LISTS = [
+    (None, 201),
+    ("null", 201),
+    ("[]", 201),
+    ('["KNOWN"]', 201),
+    ('["KNOWN","KNOWN"]', 201),
+    *(
+        (value, 400)
+        for value in (
+            '"KNOWN"',
+            "7",
+            "true",
+            "false",
+            "{}",
+            '{"0":"KNOWN"}',
+            "[7]",
+            "[null]",
+            '["KNOWN",null]',
+            '[["KNOWN"]]',
+            '["KNOWN",7]',
+            '[""]',
+            '["412"]',
+            '["req-"]',
+            '["REQ-1"]',
+            '[" KNOWN"]',
+            '["KNOWN "]',
+            '["KNOWN/0"]',
+            '["req-a b"]',
+            '["req-1\\n"]',
+            '["req-\\u00e9"]',
+            '["req-\\ud800"]',
+            '["KNOWN"],"waits_on":["KNOWN"]',
+            f'["KNOWN","req-{"1" * 65}"]',
+        )
+    ),
+    (f"[{NEW}]", 422),
+    (f'["KNOWN",{NEW}]', 422),
+    ('["ITSELF"]', 422),
+    ('["KNOWN","ITSELF"]', 422),
+    # malformed comes before what can never run
+    (f"[{NEW},7]", 400),
+    ('["ITSELF",null]', 400),
+]
+
+
+@pytest.fixture(scope="module")
+def desk():
+    desk = Desk(61, nodes=1)
+    desk.world.run(20.0)
+    assert desk.submit("req-known", expected_s="1e6")[0] == 201
+    return desk
+
+
+def _list(value: str | None, job: str) -> dict:
+    return {"waits_on": value.replace("KNOWN", "req-known").replace("ITSELF", job) if value is not None else None}
+
+
+@pytest.mark.parametrize(("value", "status"), LISTS, ids=lambda value: str(value)[:40])
+def test_each_list_is_judged_by_the_table(desk, value, status):
+    job = desk.new_id()
+    got, answer, _after, _took = desk.submit(job, **_list(value, job))
+    assert got == status, answer
+    if status == 201:
+        assert answer == {"name_id": job, "status": "pending", "done": 0, "running": 0}
+        assert desk.abort(job)[:2] == (200, {"name_id": job, "status": "cancelled"})
+    else:
+        assert answer["error"]
+        assert desk.ask("GET", f"/work/{job}")[0] == 404
+
+
+def test_a_list_too_long_to_be_kept_is_malformed_at_once(desk):
+    """Bodies have 64 KiB; whatever list fits is either kept or malformed, never put off."""
+    job = desk.new_id()
+    names = json.dumps([f"req-{i:06d}" + "x" * 50 for i in range(950)])
+    assert len(names) < 63_000
+    got, answer, _after, _took = desk.submit(job, waits_on=names)
+    assert got in (400, 422) and answer["error"]  # they were never accepted
+    assert desk.ask("GET", f"/work/{job}")[0] == 404
+
+
+def test_names_that_nobody_can_look_up_just_now_are_put_off():
+    desk = Desk(62, nodes=1)
+    desk.world.run(20.0)
+    whole = desk.world.state.handle
+
+    def handle(node, method, target, body, answer):
+        if reads_jobs(target):
+            answer(503, b"{}")
+        else:
+            whole(node, method, target, body, answer)
+
+    desk.world.state.handle = handle
+    status, _answer, after, took = desk.submit("req-1", waits_on=f"[{NEW}]")
+    assert status == 503 and after >= 1 and took < 5.0
+    desk.world.state.handle = whole
+    desk.world.run(5.0)
+    assert desk.submit("req-1", waits_on=f"[{NEW}]")[0] == 422
+
+
+def test_names_are_known_that_another_node_has_just_accepted():
+    """The node's own view lacks them, so it reads.
+
+    Watches are late, but not so late that a node takes the state service for silent and lets a peer decide.
+    """
+    desk = Desk(63, nodes=3)
+    desk.world.run(25.0)
+    hear_late(desk.world, 1.0)
+    assert all(node.store.served for node in desk.world.nodes.values())
+    assert desk.submit("req-1", "n1", expected_s="1e6")[0] == 201
+    assert "req-1" not in desk.world.nodes["n0"].book.active
+    assert desk.submit("req-2", "n0", waits_on='["req-1"]')[0] == 201
+
+
+def test_a_repeat_gets_the_jobs_state_whatever_it_names():
+    """The first list stays in force."""
+    desk = Desk(64, nodes=3)
+    world = desk.world
+    world.run(25.0)
+    first = submit(world, **LONG)
+    held = submit(world, [first], crew="team-1")
+    spec = world.jobs[held].spec
+    for node in world.names:
+        for names in ([], [first], [held], [first, "req-none-such"], ["x"], [7], "x", None, [first] * 900):
+            body = json.dumps(spec | {"waits_on": names}).encode()
+            status, answer, _after, _took = desk.ask("POST", "/work", body, node)
+            assert (status, answer["name_id"], answer["status"]) == (200, held, "pending"), names
+    world.run(20.0)
+    assert pipelines.held(world, world.jobs[held]) and world.jobs[held].started_at is None
+    end_in(world, first, 1.0)
+    all_over(world)
+    status, answer, _after, _took = desk.ask("POST", "/work", json.dumps(spec | {"waits_on": ["req-x"]}).encode())
+    assert (status, answer["status"]) == (200, "done")
+
+
+# -- two versions
+
+
+def _gate(world: World) -> tuple[Callable, Callable]:
+    """Ways to submit, with and without a job that it needs, at a node; the status is returned."""
+
+    def post(spec: dict, node: str) -> tuple[int, int | None]:
+        answers: list[tuple[int, int | None]] = []
+        world.nodes[node].on_request(
+            make_request("POST", "/work", json.dumps(spec).encode()),
+            lambda status, data=b"{}", after=None: answers.append((status, after)),
+        )
+        run_until(world, lambda: bool(answers), 6.0)
+        return answers[0]
+
+    def fields(job_id: str) -> dict:
+        return json.loads(text({"name_id": f'"{job_id}"'} | FIELDS))
+
+    return post, fields
+
+
+def test_while_a_node_may_be_old_nothing_that_waits_is_accepted():
+    """An old one would start it at once. A node that is not there yet has not written its version."""
+    world = World(13)
+    world.crash("n2", 60.0)
+    world.run(30.0)
+    assert "version/n0" in world.state.rows and "version/n1" in world.state.rows
+    assert "version/n2" not in world.state.rows
+    post, fields = _gate(world)
+    first = submit(world, **LONG)
+    for node in ("n0", "n1"):
+        status, after = post(fields("req-held") | {"waits_on": [first]}, node)
+        assert status == 503 and after >= 1
+        for none in ([], None):
+            job_id = f"req-free-{node}-{none is None}"
+            assert post(fields(job_id) | {"waits_on": none}, node)[0] == 201
+        assert post(world.jobs[first].spec | {"waits_on": ["req-other"]}, node)[0] == 200  # a repeat
+    assert "job/req-held" not in world.state.rows
+
+
+def test_once_every_node_is_new_what_waits_is_accepted():
+    world = World(14)
+    world.crash("n2", 60.0)
+    world.run(25.0)
+    first = submit(world, **LONG)
+    held = world.submit(**PLAIN | QUICK | {"waits_on": [first], "crew": "team-1"})
+    world.run(30.0)
+    assert not world.jobs[held].accepted
+    world.run(25.0)
+    assert "version/n2" in world.state.rows and world.jobs[held].accepted
+    world.crash("n1", 20.0)  # a version outlasts its process
+    again = submit(world, [first])
+    assert "version/n1" in world.state.rows
+    running(world, first)
+    end_in(world, first, 1.0)
+    all_over(world)
+    assert set(finals(world, [first, held, again])) == {"done"}
+
+
+def test_versions_are_durable():
+    """Not held by a lease: an outage or an end of the process does not take them away."""
+    world = settled(15)
+    for name in world.names:
+        value, _stamp, hold = world.state.rows[f"version/{name}"]
+        assert value["v"] >= 1 and hold is None
