Review: the cases take ports that outgoing connections don't get

Seen: in a run with restarts a controller found its port taken by an outgoing connection of another process. The cases don't restart any, but the same could happen at their start.

--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -25,10 +25,15 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is free on the loopback address."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is free on the loopback address, below those that outgoing connections get."""
+    while True:
+        port = random.SystemRandom().randrange(15_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Record:
