--- a/review/harness/standins.py
+++ b/review/harness/standins.py
@@ -78,7 +78,7 @@
                 status, value = await handler(method, target, json.loads(message[2]) if message[2] else {}, sender)
                 if status == 0:
                     continue  # no answer
-                body = json.dumps(value).encode()
+                body = json.dumps(value, separators=(",", ":")).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
                 await writer.drain()
         except (ConnectionError, ValueError):
@@ -118,7 +118,7 @@
             if self._streams is None:
                 self._streams = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 20)
             reader, writer = self._streams
-            body = b"" if value is None else json.dumps(value).encode()
+            body = b"" if value is None else json.dumps(value, separators=(",", ":")).encode()
             writer.write(
                 f"{method} {target} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
             )
