--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 STAGES = 4
-WIDTH = 130
+WIDTH = 120
 LONGEST_S, SHORTEST_S = 60.0, 20.0  # estimates in each stage, the largest job first
 UNANSWERED_S = 75.0  # "a job about which no question is answered for 75 s counts as forgotten"
 POLL_TIMEOUT_S = 2.0  # users wait 2 s for the answer to a poll
