--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A job that was submitted with a mistake stops the scheduler of its team's owner for good."""
+"""A pipeline with a deadline on its last job makes every controller hang."""
 
 import asyncio
 import os
@@ -9,80 +9,93 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "harness"))
 
-from cluster import BROKEN, HELD, NOT_RUN, Cluster, Site, run_case  # noqa: E402
-from standins import Record, now  # noqa: E402
+from cluster import ACCEPTED, BROKEN, HELD, NOT_RUN, Cluster, Site, run_case  # noqa: E402
+from standins import HttpClient, Record, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ESTIMATE_S = (
-    1.7976931348623157e308 if TROUBLE else 5.0
-)  # the largest double, which stands for "not known" in the script
-MAX_WAIT_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
-
-
-def free_machines(cluster: Cluster) -> int:
-    """Return how many machines that are up have no task at all."""
-    return sum(
-        worker.up and not worker.dead and not any(task["status"] != "exited" for task in worker.tasks.values())
-        for worker in cluster.cloud.machines.values()
-    )
+STAGES = 4
+WIDTH = 130
+LONGEST_S, SHORTEST_S = 60.0, 20.0  # estimates in each stage, the largest job first
+UNANSWERED_S = 75.0  # "a job about which no question is answered for 75 s counts as forgotten"
+POLL_TIMEOUT_S = 2.0  # users wait 2 s for the answer to a poll
+DEADLINE_S = 3600.0
 
 
 async def main() -> int:
     """Play the case and return the exit code."""
     random.seed(1)
     record = Record(str(HERE / "record.txt"))
-    cluster = Cluster(record, Site())
+    teams = [{"name": f"league-ops-{i:02d}", "cpus": 500.0, "cpus_max": 1800.0} for i in range(6)]
+    cluster = Cluster(record, Site(teams=teams))
     cluster.cloud.capacity = 2
+    started_at = now()
     try:
         await cluster.start([(zone, False) for zone in cluster.site.zones])
-        if not await cluster.wait_for(cluster.all_owned, 20.0):
+        agreed = await cluster.wait_for(lambda: cluster.all_owned() and "versions/agreed" in cluster.state.rows, 20.0)
+        if not agreed:
             record("the deployment did not start")
             return NOT_RUN
-        mistaken = cluster.job("req-mistaken", 0, 4, 5.0, expected_s=ESTIMATE_S)
-        status, body = await cluster.ask(cluster.nodes[0], "POST", "/work", mistaken)
-        record(f"user: POST /work req-mistaken, expected_s {ESTIMATE_S}: {status} {body}")
-        if status not in (200, 201):
-            return HELD  # refused
-        await asyncio.sleep(2.0)
-        for _attempt in range(10):
-            status, body = await cluster.ask(cluster.nodes[1], "POST", "/work/req-mistaken/abort")
-            record(f"user: POST /work/req-mistaken/abort: {status} {body}")
-            if status == 200:
-                break
-            await asyncio.sleep(1.0)
-        accepted_at: dict[str, float] = {}
-        for i in range(len(cluster.site.teams)):
-            job_id = f"req-{i:06d}"
-            if await cluster.submit(cluster.job(job_id, i, 8, 5.0), cluster.nodes):
-                accepted_at[job_id] = now()
-                record(f"user: {job_id} of team {i} is accepted")
-        if len(accepted_at) < len(cluster.site.teams):
+        watched = "req-watched"
+        if not await cluster.submit(cluster.job(watched, 5, 4, 600.0), cluster.nodes):
             return NOT_RUN
-        done: set[str] = set()
-        fewest_free = free_machines(cluster)
-        while len(done) < len(accepted_at) and now() - max(accepted_at.values()) < MAX_WAIT_S + 2.0:
-            await asyncio.sleep(3.0)
-            fewest_free = min(fewest_free, free_machines(cluster))
-            for job_id in accepted_at.keys() - done:
-                status, body = await cluster.ask(random.choice(cluster.nodes), "GET", f"/work/{job_id}", None, 2.0)
-                record(f"user: GET /work/{job_id}: {status} {body}; machines without a task: {free_machines(cluster)}")
-                if body.get("status") == "done":
-                    done.add(job_id)
-        waiting = [
-            job_id
-            for job_id in accepted_at
-            if job_id not in done and not cluster.zones_of.get(job_id) and now() - accepted_at[job_id] > MAX_WAIT_S
-        ]
-        for job_id in waiting:
-            record(
-                f"LEFT WAITING {job_id}: no task was started in {now() - accepted_at[job_id]:.1f} s, "
-                f"although at least {fewest_free} machines had no task at any time"
-            )
-        record(f"done: {sorted(done)}; left waiting: {waiting}; controllers' logs:\n{cluster.logs()[:6000]}")
-        return BROKEN if waiting and fewest_free else HELD
+        previous: list[str] = []
+        for stage in range(STAGES):
+            names = [f"req-{stage}-{i:03d}" for i in range(WIDTH)]
+            queue = list(enumerate(names))
+
+            async def user(queue: list[tuple[int, str]], stage: int, waits_on: list[str], node: str) -> None:
+                client = HttpClient(cluster.user_ports[node])
+                while queue:
+                    i, name = queue.pop(0)
+                    estimate_s = LONGEST_S - (LONGEST_S - SHORTEST_S) * i / WIDTH
+                    job = cluster.job(name, stage, 1, estimate_s, vcpus=1.0, memory_gb=3.2, waits_on=waits_on)
+                    while (await client.call("POST", "/work", job, 5.0))[0] not in ACCEPTED:
+                        await asyncio.sleep(1.0)
+                client.close()
+
+            waits_on = previous or [watched]
+            await asyncio.gather(*(user(queue, stage, waits_on, cluster.nodes[k % 3]) for k in range(6)))
+            previous = names
+            record(f"users: the {WIDTH} jobs of stage {stage} are accepted, each waits on {len(waits_on)} jobs")
+        last = cluster.job(
+            "req-last",
+            4,
+            1,
+            8.0,
+            urgency="urgent",
+            vcpus=1.0,
+            memory_gb=3.2,
+            waits_on=previous,
+            due_s=DEADLINE_S if TROUBLE else None,
+        )
+        record(f"users: the last job of the pipeline is submitted, due_s {last['due_s']}")
+        submission = asyncio.create_task(cluster.submit(last, cluster.nodes))
+        await asyncio.sleep(0.5)
+        return await ask_for_long(cluster, record, watched, submission, started_at)
     finally:
         await cluster.stop()
 
 
+async def ask_for_long(
+    cluster: Cluster, record: Record, job_id: str, submission: asyncio.Task, started_at: float
+) -> int:
+    """Ask all controllers for a running job that was accepted before, until one answers or the time is over."""
+    asked_at = answered_at = now()
+    longest_s = 0.0
+    while now() - asked_at < UNANSWERED_S + 4.0 and now() - started_at < 114.0:
+        for node in cluster.nodes:
+            status, body = await cluster.ask(node, "GET", f"/work/{job_id}", None, POLL_TIMEOUT_S)
+            record(f"user: GET /work/{job_id} at {node}: {status or 'no answer'} {body}")
+            if status in (200, 404):
+                answered_at = now()
+            longest_s = max(longest_s, now() - answered_at)
+        await asyncio.sleep(1.0 if longest_s else 5.0)
+    alive = [node for node in cluster.nodes if cluster.processes[node].poll() is None]
+    record(f"longest time without an answer: {longest_s:.1f} s; processes that still run: {', '.join(alive)}")
+    record(f"last job accepted: {submission.done() and submission.result()}; tasks lost: see above")
+    submission.cancel()
+    return BROKEN if longest_s >= UNANSWERED_S else HELD
+
+
 if __name__ == "__main__":
     run_case(main)
