Start from a checkpoint of the active jobs, however many have ended

Need: a scan of job/ no longer takes memory by the number of records, but still time: jobs that wait for their first task were found only when it passed them.

Change: controllers whose view of the records is complete save the ids of the active jobs with the revision of the view, at most every 1,000 changes, once 4,000 keys have been read or seen. A scan looks for that after every fourth page and ends if the state service still retains all changes since: it reads the listed jobs and applies the changes. Records, their encoding and reads of single jobs stay as they are, so versions that know no checkpoint are not affected, and their changes count.

While it was written a test found that dependency chunks read before their job's record were dropped, and that the accepting node does not count chunks: both would have blocked the job for ever; the reader now asks for the chunks that a record names.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks on real processes, which are started by hand."""
--- a/tealhook/admission/submission_records.py
+++ b/tealhook/admission/submission_records.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from tealhook.jobs.job_records import JobRecord, JobState, job_key
-from tealhook.scheduling.job_writes import MAX_TRANSACTION_BYTES
+from tealhook.jobs.job_records import JobRecord, JobState, chunk_key, job_key
 from tealhook.state_store import StateClient
+from tealhook.state_store.client import MAX_TRANSACTION_BYTES
 from tealhook.wire.common import encode_json
 from tealhook.wire.users import JobSpec
 
@@ -64,7 +64,9 @@
     first_spec.depends_on = take_ids(max_bytes - bytes_without_dependencies)
     chunks: list[RecordWrite] = []
     while sized_ids and len(chunks) < store.max_operations:
-        chunks.append(RecordWrite(f"{key}/{len(chunks) + 1}", {"w": take_ids(max_bytes - _CHUNK_OVERHEAD_BYTES)}))
+        chunks.append(
+            RecordWrite(chunk_key(spec.job_id, len(chunks) + 1), {"w": take_ids(max_bytes - _CHUNK_OVERHEAD_BYTES)})
+        )
     record.extra_chunks = len(chunks)
     writes = [RecordWrite(key, msgspec.to_builtins(record)), *chunks]
     return Submission(spec, JobRecord(spec.team, JobState.ACTIVE, spec, accepted_at), writes)
--- a/tealhook/fleet/machine_types.py
+++ b/tealhook/fleet/machine_types.py
@@ -31,8 +31,8 @@
 import msgspec
 
 from tealhook.coordination import FLEET_KEY
-from tealhook.scheduling.job_writes import MAX_TRANSACTION_BYTES
 from tealhook.state_store import CallPriority, StateClient, TransactionOutcome, TransactionResult
+from tealhook.state_store.client import MAX_TRANSACTION_BYTES
 from tealhook.wire import state as state_wire
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.common import encode_json
--- a/tealhook/jobs/index.py
+++ b/tealhook/jobs/index.py
@@ -14,12 +14,14 @@
     JOBS_PREFIX,
     JobRecord,
     JobState,
+    chunk_key,
     job_key,
     parse_dependency_chunk,
     parse_job_key,
     parse_record,
 )
 from tealhook.state_store.client import StateClient
+from tealhook.state_store.key_checkpoint import KeyCheckpoint
 from tealhook.state_store.scanning_watcher import ScanningWatcher
 from tealhook.wire import state as state_wire
 from tealhook.wire.users import PRIORITY_RANK
@@ -62,9 +64,8 @@
             store,
             JOBS_PREFIX,
             context.workers.lease_s / WATCHES_PER_LEASE,
-            self._on_page,
-            self._on_events,
-            lambda: [job_key(job_id) for job_id in self.active],
+            self,
+            KeyCheckpoint(context, store, JOBS_PREFIX),
         )
 
     def start(self, observer: JobObserver) -> None:
@@ -209,15 +210,29 @@
         if self._observer is not None:
             self._observer.on_job_changed(job_id)
 
-    # -- watch callbacks
+    # -- records, as `KeyObserver`
 
-    def _on_page(self, rows: list[state_wire.KeyValue]) -> None:
-        for row in rows:
-            self._apply_value(row.key, row.value, row.mod_revision)
+    def list_mutable_keys(self) -> list[str]:
+        """Return the keys of the records of all active jobs; their dependency chunks never change."""
+        return [job_key(job_id) for job_id in self.active]
+
+    def list_missing_keys(self) -> list[str]:
+        """Return the keys of the dependency chunks of active jobs that have not been read."""
+        return [chunk_key(job_id, chunk) for job_id, entry in self.active.items() for chunk in entry.missing_chunks]
+
+    def on_keys_read(self, items: list[state_wire.KeyValue]) -> None:
+        """Apply records that were read from the state store."""
+        for item in items:
+            self._apply_value(item.key, item.value, item.mod_revision)
+
+    def on_page_read(self, items: list[state_wire.KeyValue]) -> None:
+        """Apply records that a scan has read."""
+        self.on_keys_read(items)
         # A job's record comes before its chunks, so what is left belongs to ended jobs that have been evicted.
         self._early_chunks.clear()
 
-    def _on_events(self, events: list[state_wire.WatchEvent]) -> None:
+    def on_keys_changed(self, events: list[state_wire.WatchEvent]) -> None:
+        """Apply the changes of records; a record is never deleted."""
         for event in events:
             if event.put_key:
                 self._apply_value(event.put_key, event.value, event.mod_revision)
--- a/tealhook/jobs/job_records.py
+++ b/tealhook/jobs/job_records.py
@@ -23,6 +23,11 @@
     return JOBS_PREFIX + job_id
 
 
+def chunk_key(job_id: str, chunk: int) -> str:
+    """Return the key of a chunk of a job's dependencies; chunks are numbered from 1."""
+    return f"{job_key(job_id)}/{chunk}"
+
+
 def parse_job_key(key: str) -> tuple[str, int]:
     """Return the job id and the dependency chunk number in a key; chunk 0 is the job record itself."""
     job_id, _, chunk = key[len(JOBS_PREFIX) :].partition("/")
--- a/tealhook/scheduling/commit_batch.py
+++ b/tealhook/scheduling/commit_batch.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from tealhook.jobs.job import WriteState
-from tealhook.scheduling.job_writes import MAX_TRANSACTION_BYTES, JobWrite
+from tealhook.scheduling.job_writes import JobWrite
+from tealhook.state_store.client import MAX_TRANSACTION_BYTES
 from tealhook.wire import state as state_wire
 
 
--- a/tealhook/scheduling/job_writes.py
+++ b/tealhook/scheduling/job_writes.py
@@ -17,10 +17,10 @@
 from tealhook.jobs.record_store import JobRecordStore, build_end_write
 from tealhook.jobs.team import TeamState
 from tealhook.state_store import StateClient
+from tealhook.state_store.client import MAX_TRANSACTION_BYTES
 from tealhook.wire import state as state_wire
 from tealhook.wire.common import encode_json
 
-MAX_TRANSACTION_BYTES = 56 * 1024  # leaves a margin to the state store's limit of 64 KiB
 MAX_LIMIT_HALVINGS = 2  # the size limits of a job's write are halved at most this often after rejections
 CONDITIONS_PER_OPERATION = 4  # the state store accepts this many conditions for each operation that it accepts
 ESTIMATED_CONDITION_BYTES = 60  # encoded size of one condition
--- a/tealhook/state_store/__init__.py
+++ b/tealhook/state_store/__init__.py
@@ -1,6 +1,7 @@
 """Access to the state store: a rate-limited client, watched views and linearizable reads."""
 
 from tealhook.state_store.client import StateClient
+from tealhook.state_store.key_checkpoint import KeyCheckpoint
 from tealhook.state_store.read_index import ReadIndex
 from tealhook.state_store.request_queue import CallPriority
 from tealhook.state_store.results import ReadOutcome, ReadResult, TransactionOutcome, TransactionResult
@@ -9,6 +10,7 @@
 
 __all__ = [
     "CallPriority",
+    "KeyCheckpoint",
     "TransactionOutcome",
     "ReadIndex",
     "ReadOutcome",
--- a/tealhook/state_store/client.py
+++ b/tealhook/state_store/client.py
@@ -35,6 +35,7 @@
 CALL_TIMEOUT_S = 2.0
 MAX_RECORD_VALUE_SHARE = 0.97  # leaves a margin because the store may compute the size of a value differently
 LIST_PAGE_SIZE = 500
+MAX_TRANSACTION_BYTES = 56 * 1024  # leaves a margin to the state store's limit of 64 KiB
 MAX_LOGGED_BODY_BYTES = 200  # longer bodies of error responses are truncated in the log
 
 # HTTP statuses of the state store.
--- a/tealhook/state_store/key_checkpoint.py
+++ b/tealhook/state_store/key_checkpoint.py
@@ -25,6 +25,7 @@
 from tealhook.state_store.request_queue import CallPriority
 from tealhook.state_store.results import ReadOutcome, ReadResult, TransactionOutcome, TransactionResult
 from tealhook.wire import state as wire
+from tealhook.wire.common import encode_json
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +35,6 @@
 RETRY_LEASE_SHARE = 0.5  # a failed save is repeated after this share of a worker's lease
 SLOT_COUNT = 2
 QUEUE_TIMEOUT_S = 5.0  # longest wait of a request for rate limit tokens
-KEY_OVERHEAD_BYTES = 3  # quotes and comma around a key in a part
 PART_OVERHEAD_BYTES = 64  # the rest of a part, and its key and punctuation in a transaction
 
 
@@ -191,7 +191,7 @@
 
 
 def _key_bytes(key: str) -> int:
-    return len(key.encode()) + KEY_OVERHEAD_BYTES
+    return len(encode_json(key)) + len(",")
 
 
 def _parse(item: wire.KeyValue | None, record_type: type[Any]) -> Any:
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -155,6 +155,12 @@
         self._answer_due_watches()
         return 200, {"epoch": self.revision}
 
+    def apply_put(self, key: str, value: Any) -> None:
+        """Put a key as a client outside the cluster would."""
+        self.revision += 1
+        self._put(key, value, None)
+        self._answer_due_watches()
+
     def _put(self, key: str, value: Any, lease_id: int | None) -> None:
         self.rows[key] = (value, self.revision, lease_id)
         self._log_change(key, value, True)
