--- a/benchmarks/state_service.py
+++ b/benchmarks/state_service.py
@@ -144,6 +144,15 @@
             time.sleep(CHANGE_POLL_S)
 
 
+class _Server(ThreadingHTTPServer):
+    """A server whose clients may be killed at any time."""
+
+    daemon_threads = True
+
+    def handle_error(self, *_arguments: Any) -> None:
+        """Ignore connections that end in the middle of a request."""
+
+
 def serve(service: StateService) -> ThreadingHTTPServer:
     """Serve a state service on a free loopback port, in threads of this process."""
 
@@ -166,7 +175,6 @@
         def log_message(self, format: str, *arguments: Any) -> None:  # noqa: A002
             """Log nothing."""
 
-    server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-    server.daemon_threads = True
+    server = _Server(("127.0.0.1", 0), Handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
