One name for one thing: tolerances, shares, time-outs and refusals

Change: RESOURCE_TOLERANCE and RESERVATION_LEASE_SHARE are defined once, in wire; the time-outs of calls to the state store and the cloud, and the two default times of Retry-After, have names of their own; an option that the cloud refused is a RefusedOption. Values and behaviour are the same.

--- a/tealhook/fleet/cloud_calls.py
+++ b/tealhook/fleet/cloud_calls.py
@@ -22,7 +22,7 @@
 
 log = logging.getLogger(__name__)
 
-CALL_TIMEOUT_S = 5.0
+CLOUD_CALL_TIMEOUT_S = 5.0
 RATE_LIMIT_SHARE = 0.9  # share of the cloud's rate limit that is used
 TYPES_REFRESH_LAGS = 8.0  # Types and prices are fetched again after this multiple of the list lag.
 TYPES_WRITE_RETRY_S = 1.0  # delay until the machine types are fetched and written again if a write may be lost
@@ -104,7 +104,7 @@
             if self._token == token:
                 on_answer(status, data)
 
-        self._effects.cloud(method, target, body, CALL_TIMEOUT_S, on_reply)
+        self._effects.cloud(method, target, body, CLOUD_CALL_TIMEOUT_S, on_reply)
 
     def _on_cloud_recovered(self) -> None:
         """Drop pending releases after a long outage of the cloud, and delay new ones.
--- a/tealhook/fleet/renting.py
+++ b/tealhook/fleet/renting.py
@@ -31,7 +31,7 @@
 
 
 @dataclass
-class Refusal:
+class RefusedOption:
     """The refusal of an option by the cloud: it is not requested again before `until`."""
 
     until: float
@@ -57,7 +57,7 @@
         super()._reset()
         self._pending_rental: wire.RentalRequest | None = None
         self._request_count = 0
-        self._refusals: dict[RentalOption, Refusal] = {}
+        self._refusals: dict[RentalOption, RefusedOption] = {}
 
     def _rent_remaining(self) -> None:
         """Rent what is still missing, after a request was answered."""
@@ -189,7 +189,7 @@
         option = RentalOption(rental.machine_type, rental.zone, rental.spot)
         previous = self._refusals.get(option)
         pause_s = min(2 * (previous.pause_s if previous is not None else self._list_lag_s / 2), 4 * self._list_lag_s)
-        self._refusals[option] = Refusal(now + pause_s * (0.75 + 0.5 * self._effects.rng.random()), pause_s)
+        self._refusals[option] = RefusedOption(now + pause_s * (0.75 + 0.5 * self._effects.rng.random()), pause_s)
 
     def _is_refused(self, option: RentalOption, now: float) -> bool:
         """Check whether the cloud refused an option so recently that it is not requested."""
--- a/tealhook/http/server.py
+++ b/tealhook/http/server.py
@@ -15,7 +15,7 @@
 log = logging.getLogger(__name__)
 
 CROWDED_CONNECTION_SHARE = 0.75  # Up to this share of all connections, responses to workers may be held open.
-DEFAULT_RETRY_AFTER_S = 1  # sent with retryable statuses if the handler gives no time
+DEFAULT_RETRY_AFTER_HEADER_S = 1  # sent with retryable statuses if the handler gives no time
 RETRYABLE_STATUSES = frozenset((429, 503))
 MAX_OUTPUT_BYTES = 64 * 1024  # A connection sends one response at a time, which the protocol limits to this size.
 
@@ -91,7 +91,7 @@
             if answered:
                 return
             if status in RETRYABLE_STATUSES and retry_after_s is None:
-                retry_after_s = DEFAULT_RETRY_AFTER_S
+                retry_after_s = DEFAULT_RETRY_AFTER_HEADER_S
             answered = True
             self._is_busy = False
             self.last_active_at = self._server.loop.now()
--- a/tealhook/jobs/record_store.py
+++ b/tealhook/jobs/record_store.py
@@ -23,7 +23,7 @@
     TransactionOutcome,
     TransactionResult,
 )
-from tealhook.state_store.client import CALL_TIMEOUT_S
+from tealhook.state_store.client import STATE_CALL_TIMEOUT_S
 from tealhook.wire import state as state_wire
 
 QUEUE_TIMEOUT_S = 1.0  # a call gives up after waiting this long for the rate limit
@@ -57,7 +57,7 @@
         done: OnRecord,
         priority: CallPriority = CallPriority.ASSIGN,
         queue_timeout_s: float = QUEUE_TIMEOUT_S,
-        answer_timeout_s: float = CALL_TIMEOUT_S,
+        answer_timeout_s: float = STATE_CALL_TIMEOUT_S,
     ) -> None:
         """Read a job's record without updating the job index."""
 
@@ -75,7 +75,7 @@
         done: OnRecord,
         priority: CallPriority = CallPriority.ASSIGN,
         queue_timeout_s: float = QUEUE_TIMEOUT_S,
-        answer_timeout_s: float = CALL_TIMEOUT_S,
+        answer_timeout_s: float = STATE_CALL_TIMEOUT_S,
     ) -> None:
         """Read a job's record, update the job index with it, then call `done`."""
 
@@ -91,7 +91,7 @@
         ends: dict[str, tuple[JobRecord, int]],
         done: Callable[[TransactionOutcome, list[str]], Any],
         queue_timeout_s: float = QUEUE_TIMEOUT_S,
-        answer_timeout_s: float = CALL_TIMEOUT_S,
+        answer_timeout_s: float = STATE_CALL_TIMEOUT_S,
     ) -> None:
         """End several jobs in one transaction, provided that each record still has the revision that was read.
 
--- a/tealhook/partitions/capacity.py
+++ b/tealhook/partitions/capacity.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from tealhook.partitions.launched_jobs import LaunchedJobs
-from tealhook.partitions.machine import FAR_FUTURE_S, RESOURCE_TOLERANCE, ExpectedEnd, Machine, TaskFit, count_fitting
+from tealhook.partitions.machine import FAR_FUTURE_S, ExpectedEnd, Machine, TaskFit, count_fitting
 from tealhook.partitions.state import PartitionState
-from tealhook.wire.common import NO_RESOURCES, Resources
+from tealhook.wire.common import NO_RESOURCES, RESOURCE_TOLERANCE, Resources
 from tealhook.wire.workers import TaskStatus
 
 
--- a/tealhook/partitions/machine.py
+++ b/tealhook/partitions/machine.py
@@ -10,9 +10,7 @@
 from tealhook.loop.effects import LONG_AGO_S
 from tealhook.wire import mesh
 from tealhook.wire import workers as wire
-from tealhook.wire.common import Resources
-
-RESOURCE_TOLERANCE = 1e-6  # absorbs rounding errors in sums of requested resources
+from tealhook.wire.common import RESOURCE_TOLERANCE, Resources
 
 # A time on the monotonic clock, or a duration, beyond everything that can be estimated. It is finite because it is sent
 # to other controllers.
--- a/tealhook/partitions/reservations.py
+++ b/tealhook/partitions/reservations.py
@@ -6,8 +6,8 @@
 from tealhook.partitions.state import PartitionState
 from tealhook.wire import mesh
 from tealhook.wire.common import Resources
+from tealhook.wire.mesh.reservations import RESERVATION_LEASE_SHARE
 
-RESERVATION_LEASE_SHARE = 1 / 4  # share of a lease after which an unused reservation expires
 MAX_SILENCE_PERIODS = 2.5  # heartbeat periods; a machine silent for longer gets no more tasks
 RANDOM_ID_BITS = 40  # upper bits of reservation ids, random so that ids of different owners don't collide
 COUNTER_ID_BITS = 20  # lower bits of reservation ids, counted up by each owner
--- a/tealhook/partitions/responses.py
+++ b/tealhook/partitions/responses.py
@@ -4,10 +4,10 @@
 
 from tealhook.partitions.capacity import MachineCapacity
 from tealhook.partitions.commands import WorkerCommands
-from tealhook.partitions.machine import FAR_FUTURE_S, RESOURCE_TOLERANCE
+from tealhook.partitions.machine import FAR_FUTURE_S
 from tealhook.partitions.state import PartitionState
 from tealhook.wire import workers as wire
-from tealhook.wire.common import encode_json
+from tealhook.wire.common import RESOURCE_TOLERANCE, encode_json
 
 MIN_HEARTBEAT_INTERVAL_S = 0.5  # the protocol lets a worker send heartbeats no more often than this
 MIN_HOLD_INTERVAL_SHARE = 0.9  # share of that interval for which a response may always be held open
--- a/tealhook/scheduling/candidates.py
+++ b/tealhook/scheduling/candidates.py
@@ -13,11 +13,11 @@
     CPU_INDEX,
     GPU_INDEX,
     NOTHING_RESERVED,
-    ROUNDING_TOLERANCE,
     compute_remaining_limit,
     count_tasks_within_limit,
     reserved_for_overdue,
 )
+from tealhook.wire.common import RESOURCE_TOLERANCE
 from tealhook.wire.users import PRIORITY_RANK, STANDARD_RANK, JobSpec
 
 MAX_CANDIDATES_PER_CYCLE = 48
@@ -156,7 +156,7 @@
             # Each unfinished job counts against the guarantee with all of its tasks. If only its remaining tasks
             # counted, nearly every job could preempt tasks of others once most of it is done.
             total_vcpus = spec.vcpus * job.task_count
-            within_guarantee = team.cpu_guarantee > 0 and total_vcpus <= guarantee_left + ROUNDING_TOLERANCE
+            within_guarantee = team.cpu_guarantee > 0 and total_vcpus <= guarantee_left + RESOURCE_TOLERANCE
             guarantee_left -= total_vcpus
             if job.count_waiting() <= 0 or not self._may_be_placed(job, now):
                 continue
--- a/tealhook/scheduling/demand.py
+++ b/tealhook/scheduling/demand.py
@@ -8,8 +8,8 @@
 from tealhook.jobs.index import JobIndex
 from tealhook.jobs.job import Job
 from tealhook.jobs.team import TeamState
-from tealhook.scheduling.team_limits import ROUNDING_TOLERANCE
 from tealhook.wire import mesh as wire
+from tealhook.wire.common import RESOURCE_TOLERANCE
 from tealhook.wire.users import STANDARD_RANK
 
 UNLIMITED_CPUS = 1e9  # headroom of a team without a limit
@@ -102,7 +102,7 @@
     def take(self, count: int, cpus_per_task: float) -> int:
         """Take the CPUs of as many of `count` tasks as fit, and return the number of these tasks."""
         if cpus_per_task > 0:
-            count = min(count, int((self._free_cpus + ROUNDING_TOLERANCE) / cpus_per_task))
+            count = min(count, int((self._free_cpus + RESOURCE_TOLERANCE) / cpus_per_task))
             self._free_cpus -= count * cpus_per_task
         return count
 
--- a/tealhook/scheduling/launches.py
+++ b/tealhook/scheduling/launches.py
@@ -14,10 +14,10 @@
 from tealhook.jobs.team import TeamState
 from tealhook.mesh import Mesh
 from tealhook.wire import mesh as wire
+from tealhook.wire.mesh.reservations import RESERVATION_LEASE_SHARE
 
 log = logging.getLogger(__name__)
 
-RESERVATION_LEASE_SHARE = 0.25  # share of a lease after which a partition drops an unused reservation
 MAX_CLOCK_RATE_RATIO = 1.01  # upper bound on the ratio between the rates of the clocks of two machines
 EXPIRY_MARGIN_S = 0.1  # added to an expiry time that another machine measures
 
--- a/tealhook/scheduling/team_limits.py
+++ b/tealhook/scheduling/team_limits.py
@@ -6,9 +6,9 @@
 
 from tealhook.jobs.job import Job
 from tealhook.jobs.team import TeamState
+from tealhook.wire.common import RESOURCE_TOLERANCE
 
 UNLIMITED = 1e9  # more of a resource than any task requires
-ROUNDING_TOLERANCE = 1e-6  # sums of requested resources are compared with this tolerance
 CPU_INDEX, GPU_INDEX = 0, 1  # positions in a task's resources, and arguments of `TeamState.allocated`
 
 
@@ -43,8 +43,8 @@
     vcpus, gpus, _memory_gb = job.resources
     count = job.task_count
     if vcpus > 0:
-        count = int((remaining.vcpus - reserved.vcpus + ROUNDING_TOLERANCE) / vcpus)
+        count = int((remaining.vcpus - reserved.vcpus + RESOURCE_TOLERANCE) / vcpus)
     if gpus > 0:
-        by_gpus = int((remaining.gpus - reserved.gpus + ROUNDING_TOLERANCE) / gpus)
+        by_gpus = int((remaining.gpus - reserved.gpus + RESOURCE_TOLERANCE) / gpus)
         count = min(count, by_gpus) if vcpus > 0 else by_gpus
     return count
--- a/tealhook/state_store/client.py
+++ b/tealhook/state_store/client.py
@@ -32,7 +32,7 @@
 
 log = logging.getLogger(__name__)
 
-CALL_TIMEOUT_S = 2.0
+STATE_CALL_TIMEOUT_S = 2.0
 MAX_RECORD_VALUE_SHARE = 0.97  # leaves a margin because the store may compute the size of a value differently
 LIST_PAGE_SIZE = 500
 MAX_TRANSACTION_BYTES = 56 * 1024  # leaves a margin to the state store's limit of 64 KiB
@@ -76,7 +76,7 @@
         on_done: OnRead,
         priority: CallPriority = CallPriority.ADMIT,
         queue_timeout_s: float = 1.0,
-        answer_timeout_s: float = CALL_TIMEOUT_S,
+        answer_timeout_s: float = STATE_CALL_TIMEOUT_S,
     ) -> None:
         """Read one key.
 
@@ -97,7 +97,7 @@
         page_size: int = LIST_PAGE_SIZE,
         priority: CallPriority = CallPriority.ASSIGN,
         queue_timeout_s: float = 5.0,
-        answer_timeout_s: float = 2 * CALL_TIMEOUT_S,
+        answer_timeout_s: float = 2 * STATE_CALL_TIMEOUT_S,
     ) -> None:
         """Read at most `page_size` key-values below a prefix, from the first key behind `after` on."""
 
@@ -116,7 +116,7 @@
         page_size: int = LIST_PAGE_SIZE,
         priority: CallPriority = CallPriority.ASSIGN,
         queue_timeout_s: float = 5.0,
-        answer_timeout_s: float = 2 * CALL_TIMEOUT_S,
+        answer_timeout_s: float = 2 * STATE_CALL_TIMEOUT_S,
     ) -> None:
         """Read all key-values below a prefix, page by page; pass them and the revision of the first page to `on_done`.
 
@@ -151,7 +151,7 @@
         *,
         priority: CallPriority = CallPriority.ADMIT,
         queue_timeout_s: float = 5.0,
-        answer_timeout_s: float = CALL_TIMEOUT_S,
+        answer_timeout_s: float = STATE_CALL_TIMEOUT_S,
     ) -> None:
         """Wait for changes below a prefix since revision `after`.
 
@@ -179,7 +179,7 @@
         priority: CallPriority,
         on_done: OnTransaction,
         queue_timeout_s: float = 1.0,
-        answer_timeout_s: float = CALL_TIMEOUT_S,
+        answer_timeout_s: float = STATE_CALL_TIMEOUT_S,
     ) -> None:
         """Execute all operations if all conditions hold, and none otherwise."""
 
@@ -201,7 +201,7 @@
             on_done(_parse_lease(status, body))
 
         body = encode_json({"ttl_ms": int(ttl_s * 1000)})
-        self.submit(CallPriority.RENEW, StateRequest("POST", "/grants", body, 0, 1.0, CALL_TIMEOUT_S, on_answer))
+        self.submit(CallPriority.RENEW, StateRequest("POST", "/grants", body, 0, 1.0, STATE_CALL_TIMEOUT_S, on_answer))
 
     def renew_lease(self, lease_id: int, answer_timeout_s: float, on_done: Callable[[RenewalOutcome], Any]) -> None:
         """Renew a lease for its full time to live."""
@@ -222,7 +222,7 @@
             on_done(status in (OK, NO_CONTENT, NOT_FOUND))
 
         target = f"/grants/{lease_id}"
-        self.submit(CallPriority.RENEW, StateRequest("DELETE", target, None, 0, 1.0, CALL_TIMEOUT_S, on_answer))
+        self.submit(CallPriority.RENEW, StateRequest("DELETE", target, None, 0, 1.0, STATE_CALL_TIMEOUT_S, on_answer))
 
 
 def _parse_read(status: int | None, body: bytes) -> ReadResult:
--- a/tealhook/wire/common.py
+++ b/tealhook/wire/common.py
@@ -11,6 +11,8 @@
 
 DecodeError = msgspec.DecodeError
 
+RESOURCE_TOLERANCE = 1e-6  # absorbs rounding errors in sums of requested resources
+
 
 class Resources(NamedTuple):
     """Amounts of resources, such as the needs of a task or the capacity of a machine."""
--- a/tealhook/wire/mesh/reservations.py
+++ b/tealhook/wire/mesh/reservations.py
@@ -6,6 +6,8 @@
 
 from tealhook.wire.mesh.capacity import PartitionRequest, TaskRequirements
 
+RESERVATION_LEASE_SHARE = 1 / 4  # share of a worker's lease after which a partition drops an unused reservation
+
 
 class ReservationRequest(msgspec.Struct, array_like=True):
     """A request for capacity for `count` tasks of one job with the same requirements.
