Checkpoints list the jobs whose records their writer can't read

Need: seen while reading the change again: a job whose record only a later version can read is not active in this version's job index, so a checkpoint would have left it out, and a controller of that version that starts from the checkpoint would have forgotten it. Change: the index remembers such jobs, and lists them among those that may still change. Result: tests/test_job_checkpoint.py, fails without the change; both test files pass.

--- a/tealhook/jobs/index.py
+++ b/tealhook/jobs/index.py
@@ -53,6 +53,8 @@
         self.is_complete = True
         self.active: dict[str, JobEntry] = {}
         self.ended: OrderedDict[str, EndedJob] = OrderedDict()
+        # Jobs whose records this version can't read, as an ordered set; for a later version they may be active.
+        self._unreadable_jobs: dict[str, None] = {}
         self._checkpointing_jobs: Counter[int] = (
             Counter()
         )  # own priority rank -> number of active jobs with checkpoints
@@ -213,8 +215,8 @@
     # -- records, as `KeyObserver`
 
     def list_mutable_keys(self) -> list[str]:
-        """Return the keys of the records of all active jobs; their dependency chunks never change."""
-        return [job_key(job_id) for job_id in self.active]
+        """Return the keys of the records of all jobs that may be active; their dependency chunks never change."""
+        return [job_key(job_id) for job_id in (*self.active, *self._unreadable_jobs)]
 
     def list_missing_keys(self) -> list[str]:
         """Return the keys of the dependency chunks of active jobs that have not been read."""
@@ -243,10 +245,12 @@
             self._apply_chunk(job_id, chunk, value)
             return
         record = parse_record(value)
-        if record is not None:
-            self.apply_record(job_id, record, mod_revision)
-        else:
+        if record is None or (record.status == JobState.ACTIVE and record.spec is None):
+            self._unreadable_jobs[job_id] = None
             self.is_complete = False
+            return
+        self._unreadable_jobs.pop(job_id, None)
+        self.apply_record(job_id, record, mod_revision)
 
     def _apply_chunk(self, job_id: str, chunk: int, value: Any) -> None:
         dependencies = parse_dependency_chunk(job_id, value)
--- a/tests/test_job_checkpoint.py
+++ b/tests/test_job_checkpoint.py
@@ -128,6 +128,19 @@
             assert not entry.missing_chunks and set(blockers) <= set(entry.pending_dependencies)
 
 
+def test_checkpoint_lists_records_that_its_writer_cannot_read():
+    """Guards against forgetting an active job whose record only a later version can read."""
+    client = _client_with_checkpoint(7, 5000)
+    cluster = client.cluster
+    cluster.state.apply_put("job/req-zzz-later", {"t": "team-0", "st": "active", "s": {"later": "format"}})
+    written_revision = cluster.state.revision
+    while cluster.state.rows[HEAD_KEY][0]["r"] < written_revision:
+        _add_other_changes(cluster, 50)
+        cluster.run(1.0)
+    parts = [value for key, (value, _revision, _lease) in cluster.state.rows.items() if key.startswith(HEAD_KEY + "/")]
+    assert any("req-zzz-later" in part["k"] for part in parts)
+
+
 def _compact(cluster: SimulatedCluster) -> None:
     cluster.state.change_log.clear()
     cluster.state.compacted_revision = cluster.state.revision
