--- a/tealhook/partitions/status_updates.py
+++ b/tealhook/partitions/status_updates.py
@@ -94,14 +94,15 @@
     def _collect_tasks_by_team(self, machine: Machine) -> dict[str, list[mesh.ObservedTask]] | None:
         """Return the tasks and launches on a machine by team, or None if the team of some task is unknown here.
 
-        An update without that task would wrongly prove its absence.
+        An update without that task would wrongly prove its absence. All such jobs are read at once, since any of them
+        may have been cancelled: after a start, few jobs are known until the job index has been read.
         """
         tasks_by_team: dict[str, list[mesh.ObservedTask]] = {}
-        unknown_job = None
+        unknown_jobs: dict[str, None] = {}  # an ordered set
         for task in machine.tasks.values():
             team = self._launched_jobs.team_of(task.job)
             if team is None:
-                unknown_job = task.job
+                unknown_jobs[task.job] = None
                 continue
             tasks_by_team.setdefault(team, []).append(
                 mesh.ObservedTask(task.job, task.index, task.attempt, task.status, task.cause)
@@ -111,10 +112,9 @@
                 tasks_by_team.setdefault(reservation.team, []).append(
                     mesh.ObservedTask(reservation.job, reservation.index, reservation.attempt, mesh.LAUNCHING)
                 )
-        if unknown_job is not None:
-            self._observer.on_unknown_job(unknown_job)
-            return None
-        return tasks_by_team
+        for job in unknown_jobs:
+            self._observer.on_unknown_job(job)
+        return None if unknown_jobs else tasks_by_team
 
     def reconcile(self, request: mesh.ReconcileRequest) -> mesh.ReconcileReply:
         """Answer a reconcile request, and refuse launches by earlier schedulers of the team from now on."""
--- a/tests/test_old_deployments.py
+++ b/tests/test_old_deployments.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import random
 import tracemalloc
 
 import pytest
 
 from tests.api_client import ApiClient
-from tests.simulated_cluster import SimulatedCluster
+from tests.simulated_cluster import SimulatedCluster, make_request
 from tests.user_requests import UNCONSTRAINED_JOB
 
 TEAM_COUNT = 3
@@ -154,3 +155,37 @@
         assert [(answer[0], answer[1]["status"]) for answer in (poll, resubmission)] == [(200, statuses[job_id])] * 2
         assert client.cancel(job_id, node)[:2] == (200, {"name_id": job_id, "status": statuses[job_id]})
     assert client.request("GET", "/work/req-new-1", node=node)[0] == 404
+
+
+def test_tasks_of_all_forgotten_jobs_of_a_machine_are_stopped_at_once():
+    """Guards against stopping cancelled jobs that are not in memory one a heartbeat, later than their users were told.
+
+    The partition's owner read only one of the unknown jobs of a machine with each heartbeat.
+    """
+    cluster = SimulatedCluster(5, nodes=1)
+    cluster.run(15.0)
+    node = cluster.controllers["n0"]
+    jobs = [f"req-forgotten-{number}" for number in range(6)]
+    for job in jobs:
+        cluster.state.rows[f"job/{job}"] = ({"t": "team-0", "st": "cancelled", "at": 1.7e9}, 1, None)
+    node.job_index.is_complete = False  # as after forgetting the jobs that ended first
+    heartbeat = {
+        "box": "host-900001",
+        "addr": "10.1.0.1:9000",
+        "rig": "small",
+        "yard": "za",
+        "loaners": True,
+        "shift": 1,
+        "baton": node.partition_manager.partitions["za"].token,
+        "plays": [{"play": f"{job}/0", "try": 1, "status": "running"} for job in jobs],
+    }
+    answers = []
+    for sequence in range(2):
+        body = json.dumps(heartbeat | {"tick": sequence}).encode()
+        node.on_request(
+            make_request("POST", "/v1/report", body), lambda status, data=b"{}", *_rest: answers.append((status, data))
+        )
+        cluster.run(1.0)
+    assert [status for status, _data in answers] == [200, 200]
+    stopped = {order["play"] for order in json.loads(answers[1][1])["orders"] if order["verb"] == "kill"}
+    assert stopped == {f"{job}/0" for job in jobs}
