--- a/tealhook/admission/submissions.py
+++ b/tealhook/admission/submissions.py
@@ -128,15 +128,18 @@
     def _accept(self, submission: Submission, reply: Reply) -> None:
         """Write the records of a job, unless a record with its id exists."""
         job_id = submission.job_id
+        view_number = self._job_index.view_number
 
         def on_written(result: TransactionResult) -> None:
-            if result.outcome is TransactionOutcome.COMMITTED:
+            is_committed = result.outcome is TransactionOutcome.COMMITTED
+            if is_committed and view_number == self._job_index.view_number:
                 self._job_index.apply_record(job_id, submission.record, result.revision)
                 self._status_replier.reply_status(HTTPStatus.CREATED, job_id, JobState.ACTIVE, reply)
             elif result.outcome in (TransactionOutcome.REFUSED, TransactionOutcome.REJECTED):
                 self._responder.reply_retry(reply, "state service unavailable")
             else:
-                # The job was accepted earlier, or the outcome of this write is unknown, so the record is read.
+                # The record is read: the job was accepted earlier, or the outcome of this write is unknown, or the job
+                # index may have missed the end of the job since.
                 self._answer_if_accepted(job_id, reply, None)
 
         self._store.transact(
--- a/tealhook/jobs/index.py
+++ b/tealhook/jobs/index.py
@@ -80,6 +80,15 @@
         """True once all records have been read; until then, an active job may be missing from the index."""
         return self.watcher.is_synced
 
+    @property
+    def view_number(self) -> int:
+        """Number that changes when the records begin to be read anew.
+
+        A record that was requested under an earlier number can't be applied while it is active: it may have ended
+        before the changes that are followed now.
+        """
+        return self.watcher.view_number
+
     @property
     def can_answer(self) -> bool:
         """True once requests can be answered: from the jobs in the index, and for others by reading their records."""
--- a/tealhook/jobs/record_store.py
+++ b/tealhook/jobs/record_store.py
@@ -59,13 +59,23 @@
         queue_timeout_s: float = QUEUE_TIMEOUT_S,
         answer_timeout_s: float = STATE_CALL_TIMEOUT_S,
     ) -> None:
-        """Read a job's record without updating the job index."""
+        """Read a job's record without updating the job index.
+
+        An active job is read again if the job index began to read the records anew meanwhile: the index may have missed
+        the end of the job.
+        """
+        view_number = self._job_index.view_number
 
         def on_read(result: ReadResult) -> None:
             if result.item is None:
                 done(result.outcome, None, 0)
+                return
+            record = parse_record(result.item.value)
+            is_active = record is not None and record.status == JobState.ACTIVE
+            if is_active and view_number != self._job_index.view_number:
+                self.fetch(job_id, done, priority, queue_timeout_s, answer_timeout_s)
             else:
-                done(result.outcome, parse_record(result.item.value), result.item.mod_revision)
+                done(result.outcome, record, result.item.mod_revision)
 
         self._store.get(job_key(job_id), on_read, priority, queue_timeout_s, answer_timeout_s)
 
--- a/tealhook/state_store/scanning_watcher.py
+++ b/tealhook/state_store/scanning_watcher.py
@@ -35,7 +35,7 @@
         """Apply changes, which may be passed on more than once, and before the keys are read."""
 
     def list_mutable_keys(self) -> list[str]:
-        """Return those of the keys passed on whose values may still change."""
+        """Return those of the known keys whose values may still change."""
 
     def list_missing_keys(self) -> list[str]:
         """Return the keys that belong to keys passed on, and have not been passed on themselves."""
@@ -115,13 +115,13 @@
     def _begin(self, first_page: wire.KeyRange, sent_at: float) -> None:
         """Track changes from the revision of the first page on.
 
-        In the first scan of a process nothing has been passed on before, so the watch covers all changes.
+        The observer may know keys already, from before the changes were missed or, in the first scan of a process, from
+        its own reads and writes. The watch does not cover what happened to them until now.
         """
+        self.view_number += 1
         self._revision = max(self._revision, first_page.revision)
         self._scan_started_at = sent_at
-        if self._scan == 1:
-            self._on_tracking()
-        elif first_page.more:
+        if first_page.more:
             self._fetch(self._observer.list_mutable_keys(), self._on_tracking)
 
     def _on_tracking(self) -> None:
--- a/tealhook/state_store/watcher.py
+++ b/tealhook/state_store/watcher.py
@@ -46,6 +46,9 @@
         self._on_events = on_events
         self._revision = 0
         self._failure_count = 0  # consecutive lists and watches without an answer
+        # Counts how often the keys began to be read anew. What was requested under an earlier number may be older than
+        # the changes that are followed now.
+        self.view_number = 0
         self.viewed_at = LONG_AGO_S
         self.is_synced = False  # whether all keys have been read at least once
         self.has_all_keys = False  # whether the present view has all keys; false while they are read again
@@ -61,9 +64,12 @@
 
     def refresh(self, timeout_s: float, on_done: Callable[[bool], Any]) -> None:
         """Bring the view up to date with one request; pass to `on_done` whether it includes all earlier commits."""
-        sent_at = self._effects.now()
+        sent_at, view_number = self._effects.now(), self.view_number
 
         def on_result(result: WatchResult) -> None:
+            if view_number != self.view_number:
+                on_done(False)
+                return
             if result.reply is not None:
                 self._apply(result.reply, sent_at)
             # An answer may have waited in a socket buffer while this process was suspended, and is then outdated.
@@ -155,6 +161,7 @@
                 return
             self._failure_count = 0
             self._revision = revision
+            self.view_number += 1
             self._on_all_read(sent_at)
             self._on_snapshot(items)
             self._watch()
--- a/tests/test_job_records.py
+++ b/tests/test_job_records.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         self.updates: list[tuple] = []
+        self.view_number = 1
 
     def apply_record(self, job, record, mod_revision) -> None:
         self.updates.append((job, record, mod_revision))
--- a/tests/test_old_deployments.py
+++ b/tests/test_old_deployments.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.api_client import ApiClient
+from tests.api_client import SUBMISSION_FIELDS, ApiClient, submission_body
 from tests.simulated_cluster import SimulatedCluster, make_request
 from tests.user_requests import UNCONSTRAINED_JOB
 
@@ -157,6 +157,50 @@
     assert client.request("GET", "/work/req-new-1", node=node)[0] == 404
 
 
+@pytest.mark.parametrize("learned_by", ["submission", "submission in flight", "read in flight"])
+def test_job_that_ends_before_the_first_page_is_read_is_not_shown_as_active(learned_by):
+    """Guards against an older status, when a starting node learns of a job before it follows the changes of jobs."""
+    client = ApiClient(6, nodes=3)
+    cluster = client.cluster
+    cluster.run(10.0)
+    add_ended_jobs(cluster, 3000)
+    cluster.state.max_page_rows = 20
+    cluster.crash("n2", 1.0)
+    handle, late_kind = cluster.state.handle, {"submission in flight": "/txn", "read in flight": "/store/job/"}
+    page_read_at = cluster.now + 6.0
+
+    def handle_late(node, method, target, body, answer):
+        if node == "n2" and target.startswith("/store?starts=job/"):
+            delay_s = max(0.1, page_read_at - cluster.now)  # later pages are slow too, so that the scan takes long
+            cluster.call_later(delay_s, lambda: handle(node, method, target, body, answer))
+        elif (
+            node == "n2"
+            and b"req-zzz" in target.encode() + (body or b"")
+            and target.startswith(late_kind.get(learned_by, "none"))
+        ):
+            handle(node, method, target, body, lambda *result: cluster.call_later(1.3, lambda: answer(*result)))
+        else:
+            handle(node, method, target, body, answer)
+
+    cluster.state.handle = handle_late
+    cluster.run(4.0)
+    node = cluster.controllers["n2"]
+    if learned_by == "read in flight":
+        assert client.submit("req-zzz", "n0")[0] == 201
+    cluster.run(page_read_at - cluster.now - 0.9)
+    body = submission_body({"name_id": '"req-zzz"'} | SUBMISSION_FIELDS)
+    method, target = ("GET", "/work/req-zzz") if learned_by == "read in flight" else ("POST", "/work")
+    answers = []
+    node.on_request(make_request(method, target, body), lambda status, *_rest: answers.append(status))
+    run_until(cluster, lambda: "job/req-zzz" in cluster.state.rows, 1.0)
+    cluster.run(0.2)
+    assert client.cancel("req-zzz", "n0")[:2] == (200, {"name_id": "req-zzz", "status": "cancelled"})
+    assert cluster.now < page_read_at
+    run_until(cluster, lambda: answers and node.job_index.watcher.is_tracking, 5.0)
+    assert not node.job_index.is_synced
+    assert client.request("GET", "/work/req-zzz", node="n2")[1]["status"] == "cancelled"
+
+
 def test_tasks_of_all_forgotten_jobs_of_a_machine_are_stopped_at_once():
     """Guards against stopping cancelled jobs that are not in memory one a heartbeat, later than their users were told.
 
