--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A job with a mistaken estimate is accepted and cancelled; its controller never places a task again."""
+"""A machine that failed the tasks of two jobs is never used again while a long task keeps it from being replaced."""
 
 from __future__ import annotations
 
@@ -11,22 +11,32 @@
 
 from world import RIG, ZONES, World, run_case  # noqa: E402
 
-MISTAKE_S = 1.7976931348623157e308  # the largest number of most languages, as a client sends it for "no estimate"
-CANCEL_AFTER_S = 5.0
+YARD = "houston-closet"
+MAX_SICK_S = 6.0  # the site file lets one machine be sick for 120 s
 LEFT_WAITING_S = 90.0
-MISTAKEN_JOB, JOB = "req-000001", "req-000002"
+LONG_JOB, SHORT_JOBS, JOB = "req-000001", ("req-000002", "req-000003"), "req-000004"
 
 
 async def play(world: World, has_trouble: bool) -> None:
-    """Submit a mistaken job, cancel it, and submit a usual job of the same team."""
+    """Run a long task and two short jobs on the machine of a zone, which is sick meanwhile; then submit another job."""
     await world.start([(RIG, zone, False) for zone in ZONES], settle=True)
+    bound = {"yard": YARD, "loaners": False, "pull_gb": 0.2}
+    await world.submit(world.job(LONG_JOB, expected_s=200.0, **bound), run_s=200.0)
+    while not world.is_started(LONG_JOB):
+        await asyncio.sleep(0.02)
+    machine = next(machine for machine in world.cloud.machines.values() if machine.yard == YARD)
     if has_trouble:
-        world.log("trouble: a job is submitted with a mistake")
-        await world.submit(world.job(MISTAKEN_JOB, plays=4, expected_s=MISTAKE_S), run_s=8.0)
-        await asyncio.sleep(CANCEL_AFTER_S)
-        answer = await world.request("POST", f"/work/{MISTAKEN_JOB}/abort")
-        world.log(f"trouble over: its user has cancelled it: {answer.status}")
-    await world.submit(world.job(JOB, expected_s=10.0), run_s=8.0)
+        world.log(f"trouble: machine {machine.name} ({YARD}) fails every task that it starts")
+        machine.is_sick = True
+    for job_id in SHORT_JOBS:
+        await world.submit(world.job(job_id, vcpus=2.0, memory_gb=5.4, expected_s=2.0, **bound), run_s=2.0)
+    until = world.now() + MAX_SICK_S
+    while world.now() < until and not all(f"{job_id}/0" in world.ended_tasks for job_id in SHORT_JOBS):
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(1.0)
+    machine.is_sick = False
+    world.log("trouble over: the machine is sound")
+    await world.submit(world.job(JOB, expected_s=10.0, **bound), run_s=8.0)
     await world.watch_waiting(JOB, world.now(), LEFT_WAITING_S)
 
 
--- a/review/harness-2/world.py
+++ b/review/harness-2/world.py
@@ -167,6 +167,7 @@
         self.jobs: dict[str, dict] = {}  # what users have sent, by id
         self.run_times: dict[str, float] = {}  # true run time of a job's tasks
         self.done_tasks: set[str] = set()
+        self.ended_tasks: set[str] = set()  # tasks of which an attempt has exited, whatever the cause
         self.on_machine: dict[str, set[tuple[str, int]]] = {}  # task -> machine and attempt, while it holds its image
         self.violations: list[str] = []
         self._ports = Ports()
@@ -466,6 +467,7 @@
     def on_task_exited(self, machine: Worker, key: tuple[str, int], cause: str) -> None:
         """Record the end of a task."""
         self.log(f"machine {machine.name}: {key[0]} try {key[1]} exited, {cause}")
+        self.ended_tasks.add(key[0])
         if cause == "done":
             self.done_tasks.add(key[0])
 
