Choose the zone of a job with `together` among those that it may use

Cause: `PlacementPlanner._build_group` chose the zone with the most capacity before the limits of the job were applied, and then excluded all others, so that the only permitted zone was among those excluded. With no capacity anywhere it chose the last zone by name, so that a starving or preempting job awaited capacity there, or in none.

Change: min-min itself chooses the zone, among the zones that the job may use and after the capacity that other groups of the cycle have taken; without free capacity it awaits the zone that is expected to be free first.

--- a/tealhook/placement/minmin.py
+++ b/tealhook/placement/minmin.py
@@ -46,6 +46,7 @@
     starving: bool = False
     can_preempt: bool = False
     zone_limits: dict[str, int] = field(default_factory=dict)  # zone -> tasks that may still be placed there
+    single_zone: bool = False  # all tasks go to one zone
 
 
 @dataclass(slots=True)
@@ -93,10 +94,28 @@
     return PlacementChoice(group, zone, group.count, finish_s, awaits_capacity=True)
 
 
+def _choose_most_free(choices: Iterable[PlacementChoice | None]) -> PlacementChoice | None:
+    """Return the choice in the partition that can start most tasks now, of those that the group may use.
+
+    Equal ones are compared by their estimated finish, then by zone.
+    """
+
+    def sort_key(choice: PlacementChoice) -> tuple[int, float, str]:
+        view = choice.group.partitions[choice.zone]
+        return -(view.cached + view.uncached), choice.finish_s, choice.zone
+
+    return min((choice for choice in choices if choice is not None), key=sort_key, default=None)
+
+
 def _choose_partition(group: TaskGroup) -> PlacementChoice | None:
-    """Return the choice of the partition where a group would finish earliest; ties go to the first zone by name."""
+    """Return the choice of the partition where a group would finish earliest; ties go to the first zone by name.
+
+    The tasks of a group in a single zone follow the first ones, so these go where most of them can start.
+    """
     best: PlacementChoice | None = None
     free = {zone: _choose_free(group, zone) for zone in sorted(group.partitions)}
+    if group.single_zone and any(free.values()):
+        return _choose_most_free(free.values())
     # A starving or preempting group awaits capacity only if none is free in any partition: the time of a partition's
     # next capacity is an estimate, and a job's last task once waited for minutes for capacity that was always
     # expected to be free soon.
@@ -167,6 +186,11 @@
     return exhausted
 
 
+def _bind_to_zone(group: TaskGroup, zone: str) -> None:
+    """Allow no more tasks of a group in any zone but this one."""
+    group.zone_limits.update((other, 0) for other in group.partitions if other != zone)
+
+
 def _earliest(choices: Iterable[PlacementChoice | None]) -> PlacementChoice | None:
     """Return the choice with the earliest estimated finish.
 
@@ -189,6 +213,8 @@
             if best is None:
                 break
             choices.append(best)
+            if best.group.single_zone:
+                _bind_to_zone(best.group, best.zone)
             if best.awaits_capacity:
                 exhausted = _apply_awaited(best, groups)
             else:
--- a/tealhook/scheduling/planning.py
+++ b/tealhook/scheduling/planning.py
@@ -89,13 +89,6 @@
         spec = candidate.spec
         selector = self._selector
         partitions = {zone: self._build_view(candidate, zone, capacity) for zone, capacity in capacities.items()}
-        zone_limits = selector.zone_limits(candidate.job, spec, list(capacities))
-        if spec.single_zone and not candidate.job.occupied_zones():
-            # All tasks of the job must go to one zone: the one that has most capacity now.
-            best = max(
-                capacities, key=lambda zone: (partitions[zone].cached + partitions[zone].uncached, zone), default=None
-            )
-            zone_limits |= {zone: 0 for zone in capacities if zone != best}
         return TaskGroup(
             job=candidate.job.id,
             count=candidate.count,
@@ -107,7 +100,8 @@
             partitions=partitions,
             starving=candidate.starving,
             can_preempt=selector.may_preempt(candidate, now) or selector.may_preempt_checkpointing(candidate),
-            zone_limits=zone_limits,
+            zone_limits=selector.zone_limits(candidate.job, spec, list(capacities)),
+            single_zone=spec.single_zone,
         )
 
     @staticmethod
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -123,3 +123,24 @@
     soon, later = make_view(next_free_s=0.5), make_view(uncached=3, factor=0.9)
     [choice] = plan_cycle([make_group("a", 1, {"x": soon, "y": later})])
     assert (choice.zone, choice.awaits_capacity) == ("x", True)
+
+
+def test_single_zone_group_goes_where_most_of_its_tasks_may_start():
+    """Guards against the choice of a zone that the job's limits exclude, which left no zone at all."""
+    partitions = {"x": make_view(uncached=2), "y": make_view(uncached=3), "z": make_view(uncached=9)}
+    [choice] = plan_cycle([make_group("a", 2, partitions, zone_limits={"z": 0}, single_zone=True)])
+    assert (choice.zone, choice.count) == ("y", 2)
+
+
+def test_single_zone_group_stays_in_the_zone_of_its_first_choice():
+    partitions = {"x": make_view(cached=1), "y": make_view(cached=1, uncached=2)}
+    choices = plan_cycle([make_group("a", 9, partitions, single_zone=True)])
+    assert [(choice.zone, choice.count) for choice in choices] == [("y", 1), ("y", 2)]
+
+
+@pytest.mark.parametrize("flag", ["starving", "can_preempt"])
+def test_single_zone_group_awaits_the_earliest_capacity(flag):
+    """Guards against a full cluster in which the group awaits capacity in the last zone by name, or in none."""
+    partitions = {"x": make_view(next_free_s=2.0), "y": make_view(next_free_s=9.0), "z": make_view()}
+    [choice] = plan_cycle([make_group("a", 2, partitions, single_zone=True, **{flag: True})])
+    assert (choice.zone, choice.awaits_capacity) == ("x", True)
--- /dev/null
+++ b/tests/test_placement_constraints.py
@@ -0,0 +1,57 @@
+"""Placement constraints: a job is placed wherever its constraints allow it, whatever capacity other zones have."""
+
+from tests.simulated_cluster import SimulatedCluster
+from tests.simulation.faults import machines_up
+
+SINGLE_ZONE_JOB = {
+    "undisturbed": True,
+    "crew": "team-0",
+    "urgency": "standard",
+    "spread": False,
+    "rigs": None,
+    "loaners": True,
+    "vcpus": 4.0,
+    "pull_gb": 0.6,
+    "playbook": "img-0",
+    "together": True,
+}
+
+
+def _cluster_with_most_capacity_in_zb() -> SimulatedCluster:
+    """Return a cluster in which one small task runs in each zone, on a larger machine in zone zb than in za."""
+    cluster = SimulatedCluster(3, cpu_limit=64.0)
+    for zone, machine_types in (("za", None), ("zb", ["large"])):
+        small_task = {"vcpus": 0.5, "yard": zone, "rigs": machine_types, "together": False}
+        cluster.submit(plays=1, expected_s=200.0, **(SINGLE_ZONE_JOB | small_task))
+    cluster.run(60.0)
+    cluster.cloud.capacity_per_pool = 0  # the cloud has no more machines
+    assert {worker.zone for worker in machines_up(cluster)} == {"za", "zb"}
+    return cluster
+
+
+def test_job_of_one_zone_is_placed_although_another_zone_has_more_capacity():
+    """Guards against a job with `yard` and `together` that waits for ever, since its zone was chosen without `yard`."""
+    cluster = _cluster_with_most_capacity_in_zb()
+    job = cluster.jobs[cluster.submit(plays=2, expected_s=5.0, yard="za", **SINGLE_ZONE_JOB)]
+    cluster.run(30.0)
+    assert job.started_at is not None
+
+
+def test_job_of_one_zone_is_placed_again_after_it_lost_its_machine():
+    """Guards against a job with `yard` and `together` that is never placed again once the cloud takes its machine."""
+    cluster = _cluster_with_most_capacity_in_zb()
+    [lost] = [worker for worker in machines_up(cluster) if worker.zone == "za"]
+    job = cluster.jobs[cluster.submit(plays=1, expected_s=200.0, **(SINGLE_ZONE_JOB | {"vcpus": 0.5, "yard": "za"}))]
+    cluster.run(20.0)
+    assert job.started_at is not None
+    cluster.cloud.capacity_per_pool = 2
+    for _ in range(2):  # the second one needs another machine
+        cluster.submit(plays=1, expected_s=200.0, **(SINGLE_ZONE_JOB | {"vcpus": 4.0, "yard": "za"}))
+    cluster.run(25.0)
+    others = [worker for worker in machines_up(cluster) if worker.zone == "za" and worker is not lost]
+    cluster.cloud.capacity_per_pool = 0
+    lost.announce_termination(4.0)
+    cluster.run(4.0)
+    cluster.cloud.remove(lost.name)
+    cluster.run(30.0)
+    assert job.task_ids()[0] in [task for worker in others for task, _attempt in worker.started_tasks()]
