Leave machines that a job avoids, or that are held, out of inquiries

A cycle chooses the zone by the answers to its inquiries, which counted machines that the grant then refused: those that the job avoids, and those held for other jobs. Nothing told the planner, so it chose the same zone in every cycle.

Change: an inquiry carries the job's machine restrictions beside its requirements, and the partition leaves such machines out of its figures. The field comes last and has a default: controllers of the version in production ignore it and send none (`tests/test_mixed_version_wire.py` names it).

Evidence: `tests/simulated_placement.py` runs the real cycle, planner, inquiries, grants and staging over random jobs and clusters, and lists the jobs that still wait although a legal placement exists.

--- a/tealhook/mesh_handler.py
+++ b/tealhook/mesh_handler.py
@@ -78,7 +78,7 @@
             return
         match body:
             case wire.CapacityRequest():
-                reply(partition.inquire(body.requirements))
+                reply(partition.inquire(body.requirements, body.restrictions))
             case wire.ReserveRequest():
                 reply(partition.reserve(body))
             case wire.LaunchRequest():
--- a/tealhook/partitions/capacity_holds.py
+++ b/tealhook/partitions/capacity_holds.py
@@ -19,16 +19,18 @@
         self._hold_s = HOLD_PERIODS * report_s
 
     @staticmethod
-    def blocks(machine: Machine, request: mesh.ReservationRequest, now: float) -> bool:
-        """Check whether a machine's hold for another job blocks a request, and remove the hold if it has expired.
-
-        Requests for starving tasks are not blocked.
-        """
-        hold = machine.capacity_hold
-        if hold is None or hold.expires_at < now:
+    def is_held(machine: Machine, now: float) -> bool:
+        """Check whether a machine is held for a job, and remove the hold if it has expired."""
+        if machine.capacity_hold is not None and machine.capacity_hold.expires_at < now:
             machine.capacity_hold = None
+        return machine.capacity_hold is not None
+
+    @classmethod
+    def blocks(cls, machine: Machine, request: mesh.ReservationRequest, now: float) -> bool:
+        """Check whether a machine's hold for another job blocks a request; those for starving tasks are not blocked."""
+        if not cls.is_held(machine, now) or request.starving:
             return False
-        return hold.job != request.job and not request.starving
+        return machine.capacity_hold is None or machine.capacity_hold.job != request.job
 
     def hold(self, job: str, required: Resources, candidates: list[Machine], now: float) -> None:
         """Hold the machine that should be free first for a starving task, or renew the hold that its job has."""
--- a/tealhook/partitions/inquiries.py
+++ b/tealhook/partitions/inquiries.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from tealhook.partitions.capacity import MachineCapacity
+from tealhook.partitions.capacity_holds import CapacityHolds
 from tealhook.partitions.fetch_rates import DEFAULT_FETCH_GB_PER_S, FetchRates
 from tealhook.partitions.machine import FAR_FUTURE_S, Machine, required_resources
 from tealhook.partitions.reservations import Reservations
@@ -18,13 +20,14 @@
 
 
 class _RequirementsKey(NamedTuple):
-    """The requirements that decide where tasks fit; those that differ only in image or priority share a result."""
+    """What decides where tasks fit; requirements that differ only in image or priority share a result."""
 
     vcpus: float
     gpus: float
     memory_gb: float
     allows_spot: bool
     machine_types: tuple[str, ...]
+    restrictions: mesh.MachineRestrictions
 
 
 class _PartitionFit(NamedTuple):
@@ -42,6 +45,13 @@
     return not requirements.machine_types or machine.machine_type in requirements.machine_types
 
 
+def _permits(restrictions: mesh.MachineRestrictions, machine: Machine, now: float) -> bool:
+    """Check whether a job with these restrictions may use a machine that meets its requirements."""
+    if machine.name in restrictions.avoided_machines:
+        return False
+    return restrictions.may_use_held or not CapacityHolds.is_held(machine, now)
+
+
 class CapacityInquiries:
     """Answers capacity inquiries.
 
@@ -62,26 +72,40 @@
         self._schedulable_machines: list[Machine] = []
         self._fits: dict[_RequirementsKey, _PartitionFit] = {}
 
-    def inquire(self, requirements: list[mesh.TaskRequirements]) -> mesh.CapacityReply:
-        """Return the number of tasks that fit now and the wait for the next one, for each of the requirements."""
+    def inquire(
+        self, requirements: list[mesh.TaskRequirements], restrictions: Sequence[mesh.MachineRestrictions]
+    ) -> mesh.CapacityReply:
+        """Return the number of tasks that fit now and the wait for the next one, for each of the requirements.
+
+        `restrictions` has an item for each of the requirements, or none at all.
+        """
         now = self._effects.now()
         if now > self._state.capacity_view_valid_until:
             self._schedulable_machines = self._reservations.schedulable_machines()
             self._fits.clear()
             self._state.capacity_view_valid_until = now + self._workers.report_s * VIEW_LIFETIME_PERIODS
-        return mesh.CapacityReply(self._state.token, [self._capacity_for(required, now) for required in requirements])
-
-    def _capacity_for(self, requirements: mesh.TaskRequirements, now: float) -> mesh.Capacity:
+        capacities = [
+            self._capacity_for(required, restriction, now)
+            for required, restriction in zip(
+                requirements, restrictions or [mesh.UNRESTRICTED] * len(requirements), strict=False
+            )
+        ]
+        return mesh.CapacityReply(self._state.token, capacities)
+
+    def _capacity_for(
+        self, requirements: mesh.TaskRequirements, restrictions: mesh.MachineRestrictions, now: float
+    ) -> mesh.Capacity:
         key = _RequirementsKey(
             requirements.vcpus,
             requirements.gpus,
             requirements.memory_gb,
             requirements.allows_spot,
             requirements.machine_types,
+            restrictions,
         )
         fit = self._fits.get(key)
         if fit is None:
-            fit = self._fits[key] = self._compute_fit(requirements, now)
+            fit = self._fits[key] = self._compute_fit(requirements, restrictions, now)
         cached = uncached = 0
         image = requirements.image
         for machine, count in fit.fitting:
@@ -91,7 +115,9 @@
                 uncached += count
         return mesh.Capacity(cached, uncached, fit.next_free_s, fit.fetch_gb_per_s or DEFAULT_FETCH_GB_PER_S)
 
-    def _compute_fit(self, requirements: mesh.TaskRequirements, now: float) -> _PartitionFit:
+    def _compute_fit(
+        self, requirements: mesh.TaskRequirements, restrictions: mesh.MachineRestrictions, now: float
+    ) -> _PartitionFit:
         required = required_resources(requirements)
         fitting: list[tuple[Machine, int]] = []
         machine_types: set[str] = set()
@@ -100,6 +126,8 @@
             if not allows_machine(requirements, machine):
                 continue
             machine_types.add(machine.machine_type)
+            if not _permits(restrictions, machine, now):
+                continue
             count, free_at = machine.fit_cache.get(required) or self._capacity.compute_fit(machine, required)
             if count:
                 fitting.append((machine, count))
--- a/tealhook/partitions/partition.py
+++ b/tealhook/partitions/partition.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from tealhook.partitions.capacity import MachineCapacity
 from tealhook.partitions.commands import WorkerCommands
 from tealhook.partitions.fetch_rates import FetchRates
@@ -58,9 +60,14 @@
 
     # -- requests of the teams' schedulers
 
-    def inquire(self, requirements: list[mesh.TaskRequirements]) -> mesh.CapacityReply:
-        """Return the number of tasks that fit now and the wait for the next one, for each of the requirements."""
-        return self._inquiries.inquire(requirements)
+    def inquire(
+        self, requirements: list[mesh.TaskRequirements], restrictions: Sequence[mesh.MachineRestrictions] = ()
+    ) -> mesh.CapacityReply:
+        """Return the number of tasks that fit now and the wait for the next one, for each of the requirements.
+
+        `restrictions` has an item for each of the requirements, or none at all.
+        """
+        return self._inquiries.inquire(requirements, restrictions)
 
     def reserve(self, request: mesh.ReserveRequest) -> mesh.ReserveReply:
         """Reserve capacity for the items of a request, in their order, on machines that can start tasks at once."""
--- a/tealhook/scheduling/candidates.py
+++ b/tealhook/scheduling/candidates.py
@@ -18,6 +18,7 @@
     reserved_for_overdue,
 )
 from tealhook.wire.common import RESOURCE_TOLERANCE
+from tealhook.wire.mesh import MachineRestrictions
 from tealhook.wire.users import PRIORITY_RANK, STANDARD_RANK, JobSpec
 
 MAX_CANDIDATES_PER_CYCLE = 48
@@ -70,6 +71,7 @@
         "overdue",
         "borrows",
         "requirements",
+        "restrictions",
         "rank",
     )
 
@@ -87,6 +89,7 @@
         self.overdue = flags.overdue
         self.borrows = flags.borrows
         self.requirements = job.build_requirements()
+        self.restrictions = MachineRestrictions(self.starving, tuple(job.avoided_machines))
         self.rank = Rank(
             not_overdue=not flags.overdue,
             negated_priority=-self.requirements.priority,
--- a/tealhook/scheduling/planning.py
+++ b/tealhook/scheduling/planning.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from tealhook.jobs.team import TeamState
 from tealhook.placement import NO_CAPACITY_S, PartitionView, PlacementChoice, TaskGroup, plan_cycle
@@ -17,28 +18,47 @@
 MAX_LOGGED_WAIT_S = 999.0  # longer waits for free capacity are logged as this value
 
 
+class _Requested(NamedTuple):
+    """What an inquiry asks for: machines that meet the requirements and that the restrictions permit."""
+
+    requirements: wire.TaskRequirements
+    restrictions: wire.MachineRestrictions
+
+
+def _requested_by(candidate: Candidate) -> _Requested:
+    return _Requested(candidate.requirements, candidate.restrictions)
+
+
 @dataclass(slots=True)
 class InquiryPhase:
     """Capacity inquiries of one cycle: the candidates, the owners that are asked, and their replies."""
 
     candidates: list[Candidate]
     owners: dict[str, str]  # zone -> owner of its partition
-    requirements: list[wire.TaskRequirements] = field(init=False)  # without duplicates
+    positions: dict[_Requested, int] = field(init=False)  # of the capacities in each reply, without duplicates
     replies: dict[str, wire.CapacityReply] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Collect the requirements; candidates with equal ones share an inquiry."""
-        self.requirements = list(dict.fromkeys(candidate.requirements for candidate in self.candidates))
+        requested = dict.fromkeys(map(_requested_by, self.candidates))
+        self.positions = {item: position for position, item in enumerate(requested)}
 
     def build_requests(self) -> dict[str, wire.Body]:
         """Return the request for each zone."""
-        return {zone: wire.CapacityRequest(zone, self.requirements) for zone in self.owners}
+        requirements = [item.requirements for item in self.positions]
+        restrictions = [item.restrictions for item in self.positions]
+        return {zone: wire.CapacityRequest(zone, requirements, restrictions) for zone in self.owners}
 
     def on_reply(self, zone: str, reply: wire.Body | None) -> None:
         """Keep a reply if it has a capacity for each of the requirements."""
-        if isinstance(reply, wire.CapacityReply) and len(reply.capacities) == len(self.requirements):
+        if isinstance(reply, wire.CapacityReply) and len(reply.capacities) == len(self.positions):
             self.replies[zone] = reply
 
+    def capacities_for(self, candidate: Candidate) -> dict[str, wire.Capacity]:
+        """Return the capacity for a candidate in each zone whose partition's owner has replied."""
+        position = self.positions[_requested_by(candidate)]
+        return {zone: reply.capacities[position] for zone, reply in self.replies.items()}
+
 
 @dataclass(frozen=True, slots=True)
 class PlannedReservation:
@@ -69,16 +89,13 @@
 
     def plan(self, inquiry: InquiryPhase, now: float) -> list[PlannedReservation]:
         """Return the reservations to request, in the order in which they were chosen."""
-        positions = {requirements: i for i, requirements in enumerate(inquiry.requirements)}
         groups: list[TaskGroup] = []
         candidates_by_job: dict[str, Candidate] = {}
         for candidate in inquiry.candidates:
             if candidate.job.spec is None or self._teams.get(candidate.team.name) is not candidate.team:
                 continue
-            position = positions[candidate.requirements]
-            capacities = {zone: reply.capacities[position] for zone, reply in inquiry.replies.items()}
             candidates_by_job[candidate.job.id] = candidate
-            groups.append(self._build_group(candidate, capacities, now))
+            groups.append(self._build_group(candidate, inquiry.capacities_for(candidate), now))
         choices = self._limit_to_write_budget(plan_cycle(groups))
         self._log_groups(groups, candidates_by_job)
         planned = (PlannedReservation(candidates_by_job[choice.group.job], choice) for choice in choices)
--- a/tealhook/wire/mesh/__init__.py
+++ b/tealhook/wire/mesh/__init__.py
@@ -4,9 +4,11 @@
 """
 
 from tealhook.wire.mesh.capacity import (
+    UNRESTRICTED,
     Capacity,
     CapacityReply,
     CapacityRequest,
+    MachineRestrictions,
     PartitionRequest,
     TaskRequirements,
 )
@@ -65,6 +67,7 @@
     "Body",
     "Capacity",
     "CapacityRequest",
+    "MachineRestrictions",
     "CapacityReply",
     "Demand",
     "DrainRequest",
@@ -96,6 +99,7 @@
     "StatusUpdate",
     "StopRequest",
     "TaskRequirements",
+    "UNRESTRICTED",
     "TaskStart",
     "TaskStop",
     "TeamUsage",
--- a/tealhook/wire/mesh/capacity.py
+++ b/tealhook/wire/mesh/capacity.py
@@ -19,6 +19,19 @@
     run_s: float
 
 
+class MachineRestrictions(msgspec.Struct, array_like=True, frozen=True):
+    """The machines that a job may not use although they meet its requirements.
+
+    `may_use_held` is true for a starving job, which may also use capacity that is held for another one.
+    """
+
+    may_use_held: bool = True
+    avoided_machines: tuple[str, ...] = ()
+
+
+UNRESTRICTED = MachineRestrictions()
+
+
 class PartitionRequest(msgspec.Struct):
     """Base class of all requests to the owner of a zone's partition."""
 
@@ -37,10 +50,14 @@
     fetch_gb_per_s: float
 
 
-class CapacityRequest(PartitionRequest, tag="ask"):
-    """A request for the number of tasks that fit in a partition, and for the time until the next one fits."""
+class CapacityRequest(PartitionRequest, tag="ask", omit_defaults=True):
+    """A request for the number of tasks that fit in a partition, and for the time until the next one fits.
+
+    `restrictions` has one item for each of the requirements; controllers of an earlier version send none.
+    """
 
     requirements: list[TaskRequirements] = msgspec.field(name="shapes")
+    restrictions: list[MachineRestrictions] = []
 
 
 class CapacityReply(msgspec.Struct, tag="ask_r"):
--- a/tealhook/wire/mesh/reservations.py
+++ b/tealhook/wire/mesh/reservations.py
@@ -13,7 +13,7 @@
     """A request for capacity for `count` tasks of one job with the same requirements.
 
     `non_preemptible` tasks must not be stopped for others; it is set for the first task of a job that has waited for a
-    long time.
+    long time. A machine is held for a starving job that is granted less than it requests.
     """
 
     job: str
--- a/tests/test_mixed_version_wire.py
+++ b/tests/test_mixed_version_wire.py
@@ -85,7 +85,8 @@
     [(production_version, current_version), (current_version, production_version)],
     ids=["old to new", "new to old"],
 )
-ADDED_FIELDS = {"gossip": ("blocked", "placed")}  # last and with defaults, so the production version ignores them
+# Last and with defaults, so the production version ignores them.
+ADDED_FIELDS = {"ask": ("restrictions",), "gossip": ("blocked", "placed")}
 JOB_RECORD_MODULES = {production_version().package: "jobs.book", current_version().package: "jobs.job_records"}
 RARE_FRAMES = {"fence", "no"}  # Not every set of runs sends them.
 UNUSED_FRAMES = {"ok"}
--- a/tests/test_placement_constraints.py
+++ b/tests/test_placement_constraints.py
@@ -1,6 +1,14 @@
 """Placement constraints: a job is placed wherever its constraints allow it, whatever capacity other zones have."""
 
+from collections.abc import Callable
+
+import pytest
+
+from tealhook.partitions.machine import CapacityHold, Machine
+from tealhook.wire import mesh
+from tealhook.wire.workers import Heartbeat
 from tests.simulated_cluster import SimulatedCluster
+from tests.simulated_placement import SimulatedPlacement
 from tests.simulation.faults import machines_up
 
 SINGLE_ZONE_JOB = {
@@ -55,3 +63,51 @@
     cluster.cloud.remove(lost.name)
     cluster.run(30.0)
     assert job.task_ids()[0] in [task for worker in others for task, _attempt in worker.started_tasks()]
+
+
+@pytest.mark.parametrize("first_seed", range(0, 200, 25))
+def test_cycles_place_every_task_for_which_a_legal_placement_exists(first_seed):
+    """Guards against choices by figures that leave out a constraint which a later stage of the cycle enforces."""
+    for seed in range(first_seed, first_seed + 25):
+        placement = SimulatedPlacement(seed)
+        placement.start()
+        placement.run()
+        assert placement.placeable_jobs() == [], f"seed {seed}"
+        placement.lose_random_machine()
+        placement.run()
+        assert placement.placeable_jobs() == [], f"seed {seed}, after the loss of a machine"
+
+
+def _count_offered(change: Callable[[Machine], None], restrictions: mesh.MachineRestrictions) -> int:
+    """Return the number of tasks that an inquiry finds room for on the only machine of a partition, after a change."""
+    placement = SimulatedPlacement(1)
+    partition = placement.partitions["za"]
+    partition.machines.clear()
+    machine = Machine(
+        Heartbeat("host-0", "10.1.0.1:9000", "small", "za", 1, 1, 1, False), placement.context.effects.now()
+    )
+    machine.is_reconciled = True
+    partition.machines["host-0"] = machine
+    change(machine)
+    requirements = mesh.TaskRequirements(4.0, 0.0, 4.0, "", 0.0, False, (), 1, 5.0)
+    [capacity] = partition.inquire([requirements], [restrictions]).capacities
+    return capacity.cached + capacity.uncached
+
+
+def _hold(machine: Machine) -> None:
+    machine.capacity_hold = CapacityHold("req-other", 1e9)
+
+
+def test_inquiry_leaves_out_machines_that_the_job_avoids():
+    """Guards against a job that awaits grants in the zone of a machine which it avoids, beside other empty machines."""
+    offered = [
+        _count_offered(lambda machine: None, mesh.MachineRestrictions(False, avoided))
+        for avoided in ((), ("host-1",), ("host-0",))
+    ]
+    assert offered == [2, 2, 0]
+
+
+def test_inquiry_leaves_out_machines_held_for_other_jobs():
+    """Guards against a job that awaits grants in a zone whose free capacity is held for a starving job."""
+    offered = [_count_offered(_hold, mesh.MachineRestrictions(may_use_held, ())) for may_use_held in (False, True)]
+    assert offered == [0, 2]
