Stand-in worker: save on stop, and check that each attempt begins once

Need: late copies of start commands show as a second start of an attempt. The stand-in let every task exit at once on a stop; the protocol lets one with checkpoints save first, and end on a second stop without a grace period.

Change: the stand-in follows the protocol there, and the rule checker raises started_again when a start command begins an attempt that was begun before, on whichever machine, in all simulated runs.

--- a/tests/simulation/rules.py
+++ b/tests/simulation/rules.py
@@ -24,10 +24,17 @@
 
     def __init__(self, cluster: SimulatedCluster) -> None:
         self.cluster = cluster
+        self._begun_on: dict[tuple[str, int], str] = {}  # task and attempt -> the machine that was told to start it
         self._polls: deque[tuple[float, str, bool]] = deque()
         # Machine, task and attempt -> start of the image fetch, and whether the owner was unaware of the job's end.
         self._fetching: dict[tuple[str, str, int], tuple[float, bool]] = {}
 
+    def check_attempt(self, machine: Worker, key: tuple[str, int]) -> None:
+        """Check that a start command begins an attempt for the first time, on whichever machine."""
+        if key in self._begun_on:
+            raise RuleViolationError(f"started_again: {key} on {machine.name}, begun before on {self._begun_on[key]}")
+        self._begun_on[key] = machine.name
+
     def record_poll(self, job_id: str, answered: bool) -> None:
         """Record that a poll of a job was answered, or failed or timed out."""
         self._polls.append((self.cluster.now, job_id, answered))
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -84,6 +84,9 @@
                 if task["cause"] == "done":
                     cluster.finished_tasks.add(key[0])
                 changed = True
+            elif task["status"] == "flushing" and cluster.now >= task["saved_at"]:
+                task.update(status="exited", cause="halted", saved=True)
+                changed = True
         if (
             changed
             or not self.heartbeat_in_flight
@@ -98,6 +101,8 @@
             entry = {"play": task, "try": attempt, "status": state["status"]}
             if state["status"] == "exited":
                 entry["cause"] = state["cause"]
+                if state["cause"] == "halted":
+                    entry["saved"] = state["saved"]
             tasks.append(entry)
         return {
             "box": self.name,
@@ -202,10 +207,21 @@
             if task is not None and task["status"] == "exited":
                 del self.tasks[key]
         elif command["verb"] == "kill":
-            if task is not None and task["status"] != "exited":
-                task.update(status="exited", cause="halted")
+            if task is not None:
+                self._stop_task(command["play"], task, command["wind_down_s"])
         elif task is None:
             self.tasks[key] = self._start_task(command["play"], cluster)
+            if self.tasks[key]["status"] != "exited":
+                cluster.rule_checker.check_attempt(self, key)
+
+    def _stop_task(self, name: str, task: dict, grace_period_s: float) -> None:
+        """Stop a task: a running one with checkpoints saves if it has the time, every other one exits at once."""
+        spec = self.cluster.jobs[name.rsplit("/", 1)[0]].spec if task["status"] != "exited" else {}
+        saves = spec.get("snapshot_every_s", 0.0) > 0 and grace_period_s >= spec["snapshot_s"]
+        if task["status"] == "running" and saves:
+            task.update(status="flushing", saved_at=self.cluster.now + spec["snapshot_s"])
+        elif task["status"] in ("pulling", "running") or task["status"] == "flushing" and grace_period_s <= 0:
+            task.update(status="exited", cause="halted", saved=False)
 
     def _start_task(self, name: str, cluster: Any) -> dict:
         job = cluster.jobs.get(name.rsplit("/", 1)[0])
