Don't refuse the copy of a launch request that was carried out

What users would see: a task on two machines at once. A copy of a launch request reached the owner of the partition after the request itself, and the reply to the copy arrived first, because the first reply was late or lost.

Cause: a reservation can be used once, so the owner answered the copy with "refused", and the team's scheduler took that as proof that the attempt is on no machine and placed its task again. The launch itself had been accepted.

Change: the owner refuses a launch only if none of its machines has the attempt, as a task or as an assigned reservation. Then no start command for it is under way either.

--- a/tealhook/partitions/commands.py
+++ b/tealhook/partitions/commands.py
@@ -141,7 +141,8 @@
             ):
                 if machine is not None and reservation is not None and not reservation.is_assigned:
                     self._reservations.drop(machine, reservation)
-                refused.append(start.reservation_id)
+                if not self._is_launched(start):
+                    refused.append(start.reservation_id)
                 continue
             reservation.index, reservation.attempt = start.index, start.attempt
             reservation.state = ReservationState.LAUNCHING
@@ -157,6 +158,18 @@
             self._responder.answer_now(name)
         return mesh.LaunchReply(self._token, self._status_updates.next_sequence(), refused)
 
+    def _is_launched(self, start: mesh.TaskStart) -> bool:
+        """Check whether an attempt is launched already, so that its request is a late copy.
+
+        The reply to the copy may arrive first. If it said that the attempt is refused, the task would be started on
+        another machine as well.
+        """
+        key = AttemptKey(f"{start.job}/{start.index}", start.attempt)
+        return any(
+            key in machine.tasks or any(item.is_assigned and item.key == key for item in machine.reservations.values())
+            for machine in self._machines.values()
+        )
+
     def _preemption_grace_period_s(self, task: MachineTask | None) -> float:
         """Return the grace period of a preempted task: the time to save a checkpoint, or 0 if it saves none."""
         entry = self._job_index.active.get(task.job) if task else None
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from tests.simulation.late_copies import LateCopies
 from tests.simulation.late_heartbeats import LateHeartbeats
 from tests.simulation.requests import make_request
 from tests.simulation.state_link import StateLink
@@ -39,9 +40,16 @@
         self.held_heartbeat_share = 0.0  # share of heartbeats that are held until the next owner starts a task
         self.late_command_share = 0.0  # share of direct commands of which the request or the answer is delayed
         self.command_delay_s = (2.0, 12.0)  # range of that delay
+        self.mesh_copy_share = 0.0  # share of frames between controllers of which copies arrive late
+        self.mesh_delay_share = 0.0  # share of these frames that are delayed by up to 3 s
+        self.mesh_loss_share = 0.0  # share of these frames that are lost
+        self.response_copy_share = 0.0  # share of the responses to heartbeats of which a copy arrives late
+        self.command_copy_share = 0.0  # share of direct commands of which a copy arrives late
+        self.direct_starts = 0  # start commands that were sent directly, so that they could be executed late
         self.event_counts: Counter[str] = Counter()
         self.ownership_changes: list[tuple[float, str, str]] = []  # time, key and new owner
         self.late_heartbeats = LateHeartbeats(self)
+        self.late_copies = LateCopies(self)
         self.send_to_state = StateLink(self).send
 
     def cut(self, a: str, b: str) -> None:
@@ -92,6 +100,12 @@
         self.late_heartbeat_share = self.next_owner_copy_share = self.held_heartbeat_share = self.late_command_share = (
             0.0
         )
+        self.end_copies()
+
+    def end_copies(self) -> None:
+        """End the losses, delays and copies of messages; copies that are under way still arrive."""
+        self.mesh_copy_share = self.mesh_delay_share = self.mesh_loss_share = 0.0
+        self.response_copy_share = self.command_copy_share = 0.0
 
     def chance(self, share: float) -> bool:
         """Return True with this probability; draw only while the share is positive, which keeps other runs the same."""
@@ -175,10 +189,15 @@
                 self.late_heartbeats.on_heartbeat_answered(node, sender, data)
             if cluster.incarnations.get(node) == incarnation:
                 self.deliver(node, sender, lambda: answer(status, data))
+                if target == "/v1/report":
+                    self.late_copies.repeat_response(sender, data, lambda: answer(status, data))
 
         request = make_request(method, target, body, cluster.running_versions[node])
         cluster.run_when_resumed(node, lambda: controller.on_request(request, reply))
 
+    def _count_direct_starts(self, body: bytes | None) -> None:
+        self.direct_starts += (body or b"").count(b'"launch"')
+
     def send_to_worker(
         self, node: str, addr: str, method: str, target: str, body: bytes | None, answer: Callable
     ) -> None:
@@ -190,6 +209,7 @@
         delay_s = cluster.rng.uniform(*self.command_delay_s) if is_late else 0.0
         is_request_late = is_late and cluster.rng.random() < 0.6
         sent_at = cluster.now
+        self._count_direct_starts(body)
 
         def on_answer(status: int, data: bytes) -> None:
             if method == "POST" and cluster.now - sent_at > 2.0:
@@ -209,6 +229,7 @@
 
         def send() -> None:
             self.deliver(node, worker.name, arrive)
+            self.late_copies.repeat_command(worker, method, target, body)
 
         if is_request_late:
             cluster.call_later(delay_s, send)
@@ -221,4 +242,12 @@
             if controller is not None:
                 self.cluster.run_when_resumed(peer, lambda: controller.mesh.on_frame(frame))
 
-        self.deliver(sender, peer, arrive)
+        if self.chance(self.mesh_loss_share):
+            self.event_counts["frame lost"] += 1
+            return
+        if self.chance(self.mesh_delay_share):
+            delay_s = self.cluster.rng.uniform(0.0, 3.0)
+            self.cluster.call_later(delay_s, lambda: self.deliver(sender, peer, arrive))
+        else:
+            self.deliver(sender, peer, arrive)
+        self.late_copies.repeat_frame(frame, arrive)
