Take the refusal of a launch only from the owner that granted the reservation

What users would see: a task on two machines at once. A partition's owner launches a task, ends before it can answer, and is back within a second, or another controller takes over. A copy of the launch request then reaches the new owner, which refuses it because it was made under another token.

Cause: the team's scheduler took that refusal as proof that the attempt is on no machine. The new owner knows nothing of what the earlier one has launched.

Change: a reply under another token than that of the reservation settles nothing. The status updates of the new owner do, since its workers reject the commands of the earlier one.

Evidence: the new case of tests/test_late_start_commands.py fails before ([1, 1] refusals taken instead of [1, 0]).

--- a/tealhook/scheduling/launches.py
+++ b/tealhook/scheduling/launches.py
@@ -78,6 +78,9 @@
             job = team_state.jobs.get(job_id)
             if job is None or job.attempts.get(attempt.index) is not attempt:
                 continue
+            if reply.token != attempt.partition_token:
+                # A later owner knows nothing of what the owner before it launched. Reconciliation settles the launch.
+                continue
             if attempt.reservation_id in refused:
                 log.debug("task %s/%d: launch refused by the partition's owner", job_id, attempt.index)
                 self._on_refused(team_state, job, attempt)
--- a/tests/test_late_start_commands.py
+++ b/tests/test_late_start_commands.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 
+from tealhook.jobs.attempt import Attempt
+from tealhook.jobs.job import Job
+from tealhook.jobs.team import TeamState
+from tealhook.scheduling.launches import AttemptLauncher
+from tealhook.wire import mesh
 from tests.infrastructure_faults import machines_up, random_owner
 from tests.simulated_cluster import SimulatedCluster, end_faults
 from tests.simulation.faults import hang_machine
@@ -70,3 +76,33 @@
     hops = ("launch request", "response")
     assert [name for hop in hops for state in STATES if not counts[name := f"copy of a {hop}: {state}"]] == []
     assert counts["copy of a direct command"]
+
+
+def _proved_refused(reply_token: int) -> int:
+    """Return the number of attempts that a launcher takes as refused, by a reply under this token of the partition."""
+    refused: list[Attempt] = []
+    calls: list = []
+    team, job, attempt = (
+        TeamState("team-0", 1),
+        Job("req-000001", "team-0", None, 0.0),
+        Attempt(0, 1, "m", 1, "za", 5, 0.0),
+    )
+    attempt.reservation_id = 7
+    job.attempts[0] = attempt
+    team.jobs[job.id] = job
+    launcher = AttemptLauncher(
+        SimulatedCluster(1, nodes=1).controllers["n0"].context,
+        SimpleNamespace(owner=lambda key: "n1"),
+        SimpleNamespace(call=lambda *arguments: calls.append(arguments)),
+        {team.name: team},
+        lambda _team, _job, refused_attempt: refused.append(refused_attempt),
+    )
+    launcher.launch(team, "za", [(job.id, attempt)])
+    [(_peer, _request, _timeout_s, on_reply)] = calls
+    on_reply(mesh.LaunchReply(reply_token, 3, [7]))
+    return len(refused)
+
+
+def test_only_the_owner_that_granted_a_reservation_can_refuse_its_launch():
+    """Guards against a task on two machines, after its launch by an owner that was replaced before it could answer."""
+    assert [_proved_refused(token) for token in (5, 6)] == [1, 0]
