Refuse to launch on a reservation that has expired

What users would see: a task on two machines at once. A launch request is held up until its reservation has expired; the team's scheduler reconciles, learns that the attempt is on no machine, and places the task again; then the request arrives and is carried out.

Cause: the scheduler counts on an expired reservation being unusable, but the partition's owner dropped it only with the next inquiry or reserve request.

Change: the owner checks the time of expiry when it launches.

Evidence: the new case of tests/test_late_start_commands.py fails before (0 refused instead of 1). It is a test of the partition alone; the random runs with late messages did not hit the window, which lasts until the next cycle.

--- a/tealhook/partitions/commands.py
+++ b/tealhook/partitions/commands.py
@@ -123,6 +123,7 @@
 
     def launch(self, request: mesh.LaunchRequest) -> mesh.LaunchReply:
         """Launch tasks whose assignments are durable on their reservations, each of which can be used once."""
+        now = self._effects.now()
         refused = []
         stopping_machines: dict[str, Machine] = {}
         launching_machines: dict[str, None] = {}  # an ordered set, so that runs with the same seed are identical
@@ -135,6 +136,7 @@
                 or reservation is None
                 or not is_current
                 or reservation.is_assigned
+                or reservation.expires_at < now  # the team's scheduler may have placed the task again
                 or reservation.job != start.job
                 or machine.is_terminating
                 or self._job_index.status(start.job) in ENDED_STATES
--- a/tests/simulated_placement.py
+++ b/tests/simulated_placement.py
@@ -159,14 +159,18 @@
         self.jobs[job.id] = self.teams[job.team].jobs[job.id] = job
         return job
 
-    def keep_only_machine(self, machine: Machine) -> None:
-        """Replace all machines by one in zone za, and remove all jobs."""
+    def keep_only_idle_machine(self) -> Machine:
+        """Replace all machines by one of 8 CPUs in zone za that runs nothing, and remove all jobs."""
         for partition in self.partitions.values():
             partition.machines.clear()
-        self.partitions["za"].machines[machine.name] = machine
         self.jobs.clear()
         for team in self.teams.values():
             team.jobs.clear()
+        heartbeat = workers.Heartbeat("host-0", "10.1.0.1:9000", "small", "za", 1, 1, 1, False)
+        machine = Machine(heartbeat, self.context.effects.now())
+        machine.is_reconciled = True
+        self.partitions["za"].machines[machine.name] = machine
+        return machine
 
     def machines(self) -> Iterator[Machine]:
         for partition in self.partitions.values():
--- a/tests/test_late_start_commands.py
+++ b/tests/test_late_start_commands.py
@@ -14,6 +14,7 @@
 from tealhook.wire import mesh
 from tests.infrastructure_faults import machines_up, random_owner
 from tests.simulated_cluster import SimulatedCluster, end_faults
+from tests.simulated_placement import SimulatedPlacement
 from tests.simulation.faults import hang_machine
 from tests.user_requests import UNIFORM_JOB, cancel_running_jobs
 
@@ -106,3 +107,23 @@
 def test_only_the_owner_that_granted_a_reservation_can_refuse_its_launch():
     """Guards against a task on two machines, after its launch by an owner that was replaced before it could answer."""
     assert [_proved_refused(token) for token in (5, 6)] == [1, 0]
+
+
+def _launch_after(seconds: float) -> list[int]:
+    """Return the reservations that a partition refuses to use, out of one, this long after it was made."""
+    placement = SimulatedPlacement(1)
+    placement.keep_only_idle_machine()
+    partition = placement.partitions["za"]
+    requirements = mesh.TaskRequirements(4.0, 0.0, 4.0, "", 0.0, False, (), 1, 5.0)
+    request = mesh.ReservationRequest("req-000001", "team-0", requirements, 1, False, False, [], 1, False, False)
+    [[grant]] = partition.reserve(mesh.ReserveRequest("za", [request])).grants
+    placement.cluster.run(seconds)
+    start = mesh.TaskStart(grant.reservation_id, "req-000001", 0, 1)
+    return partition.launch(mesh.LaunchRequest("za", partition.token, "team-0", 1, [start])).refused
+
+
+def test_expired_reservation_is_refused_although_no_inquiry_has_dropped_it():
+    """Guards against a late launch of an attempt whose absence was proved after its reservation had expired."""
+    reservation_s = 9.0 / 4  # a quarter of the worker's lease
+    assert _launch_after(0.9 * reservation_s) == []
+    assert len(_launch_after(1.1 * reservation_s)) == 1
--- a/tests/test_placement_constraints.py
+++ b/tests/test_placement_constraints.py
@@ -7,7 +7,6 @@
 from tealhook.partitions.machine import CapacityHold, Machine
 from tealhook.wire import mesh
 from tealhook.wire.users import JobSpec
-from tealhook.wire.workers import Heartbeat
 from tests.simulated_cluster import SimulatedCluster
 from tests.simulated_placement import SimulatedPlacement
 from tests.simulation.faults import machines_up
@@ -82,11 +81,7 @@
 def _placement_on_only_machine() -> tuple[SimulatedPlacement, Machine]:
     """Return a placement without jobs, and its only machine, on which two tasks of 4 CPUs fit."""
     placement = SimulatedPlacement(1)
-    heartbeat = Heartbeat("host-0", "10.1.0.1:9000", "small", "za", 1, 1, 1, False)
-    machine = Machine(heartbeat, placement.context.effects.now())
-    machine.is_reconciled = True
-    placement.keep_only_machine(machine)
-    return placement, machine
+    return placement, placement.keep_only_idle_machine()
 
 
 def _count_offered(change: Callable[[Machine], None], restrictions: mesh.MachineRestrictions) -> int:
