Rent machines where waiting tasks may run

What users would see: a job that is bound to a zone waits although the cloud has machines there, since machines are rented in other zones for as long as other work waits, or its tasks seem to be served by free CPUs elsewhere.

Demand left out the zone that a job with `together` has chosen already, the zones in which a `spread` job has reached its limit, and the team's limit on GPUs. The shortage compared the CPUs of all zones with the demand, whatever its zone.

Change: demand names the zones in which waiting tasks may run, within both limits; the limits per zone are in scheduling/zone_limits.py, so that cycles and demand share them. Demand that names a zone has a shortage of its own, against the unused CPUs of the machines that it may use. Jobs without such constraints are counted as before.

Evidence: with the demand as it was, both new tests of it fail ({None: 5} instead of {'zb': 5}, 6 tasks instead of 2 within the limit on GPUs).

--- a/tealhook/fleet/demand.py
+++ b/tealhook/fleet/demand.py
@@ -6,6 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from tealhook.fleet.machines import RentalOption
 from tealhook.settings import Settings
 from tealhook.wire.cloud import MachineType
 from tealhook.wire.mesh import Demand, TaskRequirements
@@ -41,6 +42,17 @@
     return 0 if count is math.inf else int(count)
 
 
+def is_usable(machine_type: MachineType, option: RentalOption, demand: Demand) -> bool:
+    """Check whether the tasks of a demand may run, and fit, on a machine of an option."""
+    requirements = demand.requirements
+    return bool(
+        (requirements.allows_spot or not option.spot)
+        and (not requirements.machine_types or machine_type.name in requirements.machine_types)
+        and demand.zone in (None, option.zone)
+        and tasks_per_machine(machine_type, requirements)
+    )
+
+
 def whole_machine_cpus(machine_types: dict[str, MachineType], demand: Demand) -> float:
     """Return the CPUs of the machines that a demand fills, for the machine type with the fewest; 0 if none fits."""
     best = math.inf
--- a/tealhook/fleet/manager.py
+++ b/tealhook/fleet/manager.py
@@ -17,8 +17,9 @@
 from tealhook.fleet.cloud_calls import TYPES_REFRESH_LAGS
 from tealhook.fleet.demand import DemandHistory, Horizon, NonSpotDemand
 from tealhook.fleet.draining import Draining
+from tealhook.fleet.machines import RentalOption
 from tealhook.fleet.renting import Renting
-from tealhook.fleet.sizing import CapacityNeed, FleetView, Supply, estimate_need, find_shortages
+from tealhook.fleet.sizing import CapacityNeed, FleetView, FreeMachine, Supply, estimate_need, find_shortages
 from tealhook.mesh import Mesh
 from tealhook.state_store import StateClient
 from tealhook.wire import cloud as wire
@@ -161,14 +162,20 @@
                 or (state is not None and self._is_unreliable(state))
             ):
                 continue
+            used_cpus = state.used_cpus if state is not None else 0.0
+            free_machine = FreeMachine(
+                RentalOption(machine.machine_type, machine.zone, machine.spot), machine_type.vcpus - used_cpus
+            )
             if machine.status == wire.MachineStatus.RUNNING:
                 supply.up_cpus += machine_type.vcpus
+                supply.free[free_machine] += 1
             elif now - machine.requested_at <= LATE_BOOT_RATIO * machine_type.boot_s + self._list_lag_s:
                 supply.starting_cpus += machine_type.vcpus
+                supply.free[free_machine] += 1
             if machine.spot:
                 supply.spot_cpus += machine_type.vcpus
             else:
-                supply.free_on_demand_cpus += machine_type.vcpus - (state.used_cpus if state is not None else 0.0)
+                supply.free_on_demand_cpus += machine_type.vcpus - used_cpus
                 supply.on_demand_cpus += machine_type.vcpus
         return supply
 
--- a/tealhook/fleet/renting.py
+++ b/tealhook/fleet/renting.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tealhook.fleet.demand import tasks_per_machine
+from tealhook.fleet.demand import is_usable
 from tealhook.fleet.listing import MachineListing
 from tealhook.fleet.machines import RentalOption, RentedMachine, hourly_cpu_price
 from tealhook.fleet.sizing import Shortage, Supply
@@ -38,18 +38,6 @@
     pause_s: float
 
 
-def _is_usable(
-    machine_type: wire.MachineType, option: RentalOption, requirements: mesh_wire.TaskRequirements, zone: str | None
-) -> bool:
-    """Check whether a task with these requirements, in this zone if one is given, can run on a machine of an option."""
-    return bool(
-        (requirements.allows_spot or not option.spot)
-        and (not requirements.machine_types or machine_type.name in requirements.machine_types)
-        and (zone is None or zone == option.zone)
-        and tasks_per_machine(machine_type, requirements)
-    )
-
-
 class Renting(MachineListing):
     """Rents machines with one request at a time."""
 
@@ -65,7 +53,6 @@
 
     def _rental_offers(self, demand: list[mesh_wire.Demand], spot_allowed: bool, now: float) -> list[RentalOffer]:
         """Return what can be rented and used by the waiting tasks, cheapest first."""
-        wanted = [(item.requirements, item.zone) for item in demand]
         machines_per_zone: dict[str, int] = {}
         self._provisioning.clear_overdue()
         for machine in self._machines.values():
@@ -82,9 +69,7 @@
                     option = RentalOption(machine_type.name, zone, spot)
                     if (spot and not spot_allowed) or self._is_refused(option, now):
                         continue
-                    if wanted and not any(
-                        _is_usable(machine_type, option, requirements, zone) for requirements, zone in wanted
-                    ):
+                    if demand and not any(is_usable(machine_type, option, item) for item in demand):
                         continue
                     # A machine is paid for while it boots. A lifetime of about ten boot times is assumed.
                     boot_s = max(machine_type.boot_s, self._provisioning.expected_s(machine_type, zone, now))
--- a/tealhook/fleet/sizing.py
+++ b/tealhook/fleet/sizing.py
@@ -2,14 +2,27 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
-
-from tealhook.fleet.demand import DemandHistory, Horizon, NonSpotDemand, backlog_cpus, whole_machine_cpus
+from typing import NamedTuple
+
+from tealhook.fleet.demand import (
+    DemandHistory,
+    Horizon,
+    NonSpotDemand,
+    backlog_cpus,
+    is_usable,
+    whole_machine_cpus,
+)
+from tealhook.fleet.machines import RentalOption
 from tealhook.wire.cloud import MachineType
+from tealhook.wire.common import RESOURCE_TOLERANCE
 from tealhook.wire.mesh import Demand, MachineState, TeamUsage
 
 CONTINUING_USE_SHARE = 0.75  # share of the CPUs in use now that stays in use over the planning horizon
 
+MIN_SHORTAGE_CPUS = 1.0  # rents one machine
+
 
 @dataclass
 class FleetView:
@@ -21,6 +34,13 @@
     non_spot: NonSpotDemand = field(default_factory=NonSpotDemand)
 
 
+class FreeMachine(NamedTuple):
+    """A kind of machine, and the CPUs of one that are unused; all of them while it is starting."""
+
+    option: RentalOption
+    free_cpus: float
+
+
 @dataclass
 class Supply:
     """CPUs of the machines that can be relied on."""
@@ -30,6 +50,7 @@
     spot_cpus: float = 0.0
     free_on_demand_cpus: float = 0.0  # unused CPUs of on-demand machines
     on_demand_cpus: float = 0.0  # all CPUs of on-demand machines
+    free: Counter[FreeMachine] = field(default_factory=Counter)  # number of machines with equal free CPUs
 
     @property
     def total_cpus(self) -> float:
@@ -109,12 +130,13 @@
     urgent_missing_cpus = urgent_target_cpus - supply.up_cpus - supply.starting_cpus
     if persistent_cpus > 0 and not supply.starting_cpus:
         # The machines that are up can't serve the backlog: their capacity is unsuitable or fragmented.
-        missing_cpus, urgent_missing_cpus = max(missing_cpus, 1.0), max(urgent_missing_cpus, 1.0)
+        missing_cpus = max(missing_cpus, MIN_SHORTAGE_CPUS)
+        urgent_missing_cpus = max(urgent_missing_cpus, MIN_SHORTAGE_CPUS)
     # Spot machines don't help demand that may not use them, and on-demand machines are counted for it alone.
     missing_non_spot_cpus = (
         sum(backlog_cpus(machine_types, item, horizon) for item in need.non_spot_demand) - supply.free_on_demand_cpus
     )
-    shortages: list[Shortage] = []
+    shortages = _single_zone_shortages(machine_types, view.demand, horizon, supply) if persistent_cpus > 0 else []
     if missing_non_spot_cpus > 0 and persistent_cpus > 0:
         shortages.append(Shortage(missing_non_spot_cpus, missing_non_spot_cpus, need.non_spot_demand))
     if need.on_demand_cpus > supply.on_demand_cpus:
@@ -125,3 +147,32 @@
     if missing_cpus > 0:
         shortages.append(Shortage(missing_cpus, urgent_missing_cpus, view.demand))
     return shortages
+
+
+def _single_zone_shortages(
+    machine_types: dict[str, MachineType], demand: list[Demand], horizon: Horizon, supply: Supply
+) -> list[Shortage]:
+    """Return the CPUs that are missing for tasks bound to one zone, where other zones' machines don't help.
+
+    The total of all zones hides them: machines would be rented elsewhere for as long as other tasks wait.
+    """
+    shortages: list[Shortage] = []
+    for item in demand:
+        if item.zone is None:
+            continue
+        missing_cpus = backlog_cpus(machine_types, item, horizon) - _usable_cpus(machine_types, item, supply)
+        if missing_cpus > 0:
+            urgent_cpus = max(MIN_SHORTAGE_CPUS, urgent_backlog_cpus(machine_types, [item], horizon))
+            shortages.append(Shortage(missing_cpus, min(missing_cpus, urgent_cpus), [item]))
+    return shortages
+
+
+def _usable_cpus(machine_types: dict[str, MachineType], demand: Demand, supply: Supply) -> float:
+    """Return the unused CPUs that tasks of a demand can fill, on machines that they may use."""
+    task_cpus = demand.requirements.vcpus
+    usable_cpus = 0.0
+    for (option, free_cpus), count in supply.free.items():
+        if is_usable(machine_types[option.machine_type], option, demand):
+            tasks = int((free_cpus + RESOURCE_TOLERANCE) / task_cpus) if task_cpus > 0 else demand.count
+            usable_cpus += count * tasks * task_cpus
+    return usable_cpus
--- a/tealhook/jobs/job.py
+++ b/tealhook/jobs/job.py
@@ -17,7 +17,7 @@
 from tealhook.jobs.job_entry import JobEntry
 from tealhook.jobs.tasks import JobTasks
 from tealhook.loop.effects import LONG_AGO_S
-from tealhook.wire.common import encode_json
+from tealhook.wire.common import Resources, encode_json
 
 
 class WriteState(enum.Enum):
@@ -124,7 +124,7 @@
         """
         decoded = decode_chunk(assignment_key(self.team, self.id, chunk), chunk, value, now)
         if self.spec is None and len(decoded.resources) == 3:
-            self.resources = decoded.resources
+            self.resources = Resources(*decoded.resources)
         self.last_attempt_number = max(self.last_attempt_number, decoded.last_attempt_number)
         self.chunk_revisions[chunk] = revision
         self.chunk_sizes[chunk] = len(encode_json(value))
--- a/tealhook/jobs/tasks.py
+++ b/tealhook/jobs/tasks.py
@@ -8,6 +8,7 @@
 from tealhook.jobs.assignment_record import TASK_DONE
 from tealhook.jobs.attempt import Attempt, AttemptState
 from tealhook.jobs.job_entry import JobEntry
+from tealhook.wire.common import NO_RESOURCES
 from tealhook.wire.mesh import TaskRequirements
 from tealhook.wire.users import JobKind, JobSpec
 
@@ -31,7 +32,7 @@
         self.is_blocked = entry.is_blocked if entry else False
         self.priority = entry.priority if entry else 0  # the highest rank among the job and all its dependents
         self.deadline_at = math.inf  # the latest end that also lets its dependents meet their deadlines
-        self.resources = self.spec.resources if self.spec else (0.0, 0.0, 0.0)
+        self.resources = self.spec.resources if self.spec else NO_RESOURCES
         self.mod_revision = entry.mod_revision if entry else 0
         self.last_attempt_number = 0  # the highest number given out; the numbers of a job's attempts only grow
         self.task_count = self.spec.task_count if self.spec else 0
--- a/tealhook/scheduling/candidates.py
+++ b/tealhook/scheduling/candidates.py
@@ -17,6 +17,7 @@
     count_tasks_within_limit,
     reserved_for_overdue,
 )
+from tealhook.scheduling.zone_limits import compute_zone_limits
 from tealhook.wire.common import RESOURCE_TOLERANCE
 from tealhook.wire.mesh import MachineRestrictions
 from tealhook.wire.users import PRIORITY_RANK, STANDARD_RANK, JobSpec
@@ -244,20 +245,8 @@
 
     @staticmethod
     def zone_limits(job: Job, spec: JobSpec, zones: list[str]) -> dict[str, int]:
-        """Return the maximum number of further tasks of a job for each zone; zones without an entry are unlimited."""
-        limits: dict[str, int] = {}
-        used = job.occupied_zones()
-        for zone in zones:
-            max_tasks = spec.task_count
-            if spec.zone is not None and zone != spec.zone:
-                max_tasks = 0
-            if spec.single_zone and used and used != {zone}:
-                max_tasks = 0
-            if spec.spread:
-                max_tasks = min(max_tasks, (spec.task_count + 1) // 2 - job.count_in_zone(zone))
-            if max_tasks < spec.task_count:
-                limits[zone] = max(0, max_tasks)
-        return limits
+        """Return the maximum number of further tasks of a job for each zone; see `compute_zone_limits`."""
+        return compute_zone_limits(job, spec, zones)
 
     def may_preempt(self, candidate: Candidate, now: float) -> bool:
         """Check whether a job may have tasks of others preempted.
--- a/tealhook/scheduling/demand.py
+++ b/tealhook/scheduling/demand.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from tealhook.context import NodeContext
 from tealhook.jobs.index import JobIndex
 from tealhook.jobs.job import Job
 from tealhook.jobs.team import TeamState
+from tealhook.scheduling.team_limits import CPU_INDEX, GPU_INDEX, compute_remaining_limit
+from tealhook.scheduling.zone_limits import compute_zone_limits
 from tealhook.wire import mesh as wire
-from tealhook.wire.common import RESOURCE_TOLERANCE
-from tealhook.wire.users import STANDARD_RANK
+from tealhook.wire.common import RESOURCE_TOLERANCE, Resources
+from tealhook.wire.users import STANDARD_RANK, JobSpec
 
-UNLIMITED_CPUS = 1e9  # headroom of a team without a limit
 # Bounds, in provisioning times (`boot_s`), within which the expected release of a blocked job makes its tasks count as
 # demand: this far ahead of the release, because some machines take longer than `boot_s`, and this far overdue.
 RELEASE_LOOKAHEAD_PROVISIONING_TIMES = 2.0
@@ -28,6 +30,7 @@
         self._policy = context.policy
         self._job_index = job_index
         self._teams = teams
+        self._zones = context.settings.params.zones
 
     def progress(self) -> dict[str, wire.JobProgress]:
         """Return the numbers of done and running tasks of each active job."""
@@ -53,17 +56,37 @@
                     continue
                 if job.is_failing:
                     count = 1  # capacity for the next retry only, since the job may fail on every machine
-                count = headroom.take(count, job.resources[0])
+                count = headroom.take(count, job.resources)
                 if count <= 0:
                     continue
                 requirements = job.build_requirements()
-                demand = demand_by_key.setdefault(
-                    (team_state.name, requirements, job.spec.zone),
-                    wire.Demand(team_state.name, requirements, job.spec.zone, 0, job.spec.job_class),
-                )
-                demand.count += count
+                for zone, zone_count in self._count_by_zone(job, job.spec, count).items():
+                    demand = demand_by_key.setdefault(
+                        (team_state.name, requirements, zone),
+                        wire.Demand(team_state.name, requirements, zone, 0, job.spec.job_class),
+                    )
+                    demand.count += zone_count
         return list(demand_by_key.values())
 
+    def _count_by_zone(self, job: Job, spec: JobSpec, count: int) -> dict[str | None, int]:
+        """Return the zones in which `count` waiting tasks may run, with the number for each; None stands for any zone.
+
+        The tasks of a job in a single zone have to follow those that are placed. Those of a spread job are divided
+        among the zones that have not reached its limit, once one has.
+        """
+        if spec.single_zone and spec.zone is None:
+            occupied = job.occupied_zones()
+            return {occupied.pop() if len(occupied) == 1 else None: count}
+        if not spec.spread:
+            return {spec.zone: count}
+        zones = sorted({*self._zones, *job.occupied_zones()})
+        limits = compute_zone_limits(job, spec, zones)
+        allowed = [zone for zone in zones if limits.get(zone, count) > 0]
+        if len(allowed) == len(zones) or not allowed:
+            return {spec.zone: count}
+        share = math.ceil(count / len(allowed))
+        return {zone: min(share, limits.get(zone, share)) for zone in allowed}
+
     def non_spot(self) -> tuple[list[wire.Demand], list[wire.Demand]]:
         """Return the tasks of jobs that may not use spot machines: those soon to be released, and those placed."""
         blocked: list[wire.Demand] = []
@@ -75,7 +98,7 @@
                     continue
                 count, demands = len(job.attempts) + len(job.staged), placed
                 if job.is_blocked and self._is_released_soon(job):
-                    count, demands = headroom.take(job.task_count, job.resources[0]), blocked
+                    count, demands = headroom.take(job.task_count, job.resources), blocked
                 if count > 0:
                     demands.append(
                         wire.Demand(team_state.name, job.build_requirements(), job.spec.zone, count, job.spec.job_class)
@@ -94,16 +117,19 @@
 
 
 class _Headroom:
-    """CPUs that a team may still use within its limit."""
+    """CPUs and GPUs that a team may still use within its limits."""
 
     def __init__(self, team_state: TeamState) -> None:
-        self._free_cpus = team_state.cpu_limit - team_state.allocated() if team_state.cpu_limit > 0 else UNLIMITED_CPUS
-
-    def take(self, count: int, cpus_per_task: float) -> int:
-        """Take the CPUs of as many of `count` tasks as fit, and return the number of these tasks."""
-        if cpus_per_task > 0:
-            count = min(count, int((self._free_cpus + RESOURCE_TOLERANCE) / cpus_per_task))
-            self._free_cpus -= count * cpus_per_task
+        self._free = list(compute_remaining_limit(team_state))
+
+    def take(self, count: int, resources: Resources) -> int:
+        """Take the CPUs and GPUs of as many of `count` tasks as fit, and return the number of these tasks."""
+        for index in (CPU_INDEX, GPU_INDEX):
+            if resources[index] > 0:
+                count = min(count, int((self._free[index] + RESOURCE_TOLERANCE) / resources[index]))
+        count = max(0, count)
+        for index in (CPU_INDEX, GPU_INDEX):
+            self._free[index] -= count * resources[index]
         return count
 
 
--- a/tests/test_placement_constraints.py
+++ b/tests/test_placement_constraints.py
@@ -1,15 +1,20 @@
 """Placement constraints: a job is placed wherever its constraints allow it, whatever capacity other zones have."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import pytest
 
+from tealhook.fleet.demand import DemandHistory, Horizon
+from tealhook.fleet.machines import RentalOption
+from tealhook.fleet.sizing import FleetView, FreeMachine, Supply, estimate_need, find_shortages
+from tealhook.jobs.attempt import Attempt
 from tealhook.jobs.job_entry import JobEntry
 from tealhook.partitions.machine import CapacityHold, Machine
+from tealhook.scheduling.demand import TeamDemand
 from tealhook.wire import mesh
 from tealhook.wire.users import JobSpec
 from tests.simulated_cluster import SimulatedCluster
-from tests.simulated_placement import SimulatedPlacement
+from tests.simulated_placement import MACHINE_TYPES, SimulatedPlacement
 from tests.simulation.faults import machines_up
 
 SINGLE_ZONE_JOB = {
@@ -144,3 +149,59 @@
     placement.start()
     placement.run()
     assert job.occupied_zones() == {"zb"}
+
+
+def _demand_zones(changes: dict, occupied: Sequence[str] = ()) -> dict[str | None, int]:
+    """Return the zones of the demand for a job of 6 tasks, and the tasks for each, with one task in each `occupied`."""
+    placement = SimulatedPlacement(1)
+    placement.remove_all()
+    placement.teams["team-0"].cpu_limit = 0.0
+    spec = JobSpec("req-000001", "x", "team-0", "array", "standard", 6, 4.0, 4.0, **changes)
+    job = placement.add_job(spec)
+    for index, zone in enumerate(occupied):
+        job.attempts[index] = Attempt(index, 1, "host-0", 1, zone, 1, 0.0)
+    demand = TeamDemand(placement.context, placement.job_index, placement.teams).waiting()
+    return {item.zone: item.count for item in demand}
+
+
+def test_demand_names_the_zones_in_which_waiting_tasks_may_run():
+    """Guards against machines that are rented where the waiting tasks of a job in a single zone may not run."""
+    assert _demand_zones({}) == {None: 6}
+    assert _demand_zones({"zone": "za"}) == {"za": 6}
+    assert _demand_zones({"single_zone": True}) == {None: 6}
+    assert _demand_zones({"single_zone": True}, ["zb"]) == {"zb": 5}
+    assert _demand_zones({"spread": True}, ["zb", "za"]) == {None: 4}
+    assert _demand_zones({"spread": True}, ["zb"] * 3) == {"za": 3}
+
+
+def test_demand_keeps_to_the_limit_on_gpus():
+    """Guards against machines that are rented for tasks which their team's limit on GPUs does not allow."""
+    placement = SimulatedPlacement(1)
+    placement.remove_all()
+    team = placement.teams["team-0"]
+    team.cpu_limit, team.gpu_limit = 0.0, 2.0
+    placement.add_job(JobSpec("req-000001", "x", "team-0", "array", "standard", 6, 4.0, 4.0, gpus=1.0))
+    [demand] = TeamDemand(placement.context, placement.job_index, placement.teams).waiting()
+    assert demand.count == 2
+
+
+def _shortages(zone: str | None, free_cpus: dict[str, float]) -> list[float]:
+    """Return the missing CPUs for a waiting task of 4 CPUs, with one machine for each zone in `free_cpus`."""
+    placement = SimulatedPlacement(1)
+    requirements = mesh.TaskRequirements(4.0, 0.0, 4.0, "", 0.0, True, (), 1, 100.0)
+    view = FleetView(demand=[mesh.Demand("team-0", requirements, zone, 1, "x")])
+    supply = Supply(up_cpus=8.0 * len(free_cpus), starting_cpus=8.0)
+    for machine_zone, cpus in free_cpus.items():
+        supply.free[FreeMachine(RentalOption("small", machine_zone, True), cpus)] += 1
+    horizon, history = Horizon(placement.context.settings, 10.0), DemandHistory(10.0)
+    need = estimate_need(MACHINE_TYPES, view, horizon)
+    history.record(0.0, 0.0, 0.0, need.waiting_cpus, 1.0)
+    found = find_shortages(MACHINE_TYPES, view, horizon, need, supply, 0.0, history)
+    return [shortage.missing_cpus for shortage in found]
+
+
+def test_free_capacity_of_other_zones_hides_no_shortage():
+    """Guards against a job bound to one zone for which no machine is rented, since other zones have free capacity."""
+    assert _shortages("za", {"zb": 8.0, "za": 2.0}) == [4.0]
+    assert _shortages("za", {"za": 4.0}) == []
+    assert _shortages(None, {"zb": 8.0}) == []
