Hold only machines on which the starving task will fit

What users would see: small jobs wait beside free capacity, because a machine is held for a starving task that is too large for it. This happens where the machines that the task fits are held for other jobs already.

Cause: the machine to hold was chosen by when it should be free for the task, and the first by name was taken when no machine ever should.

Change: no machine is held then.

Evidence: the new case of tests/test_placement_constraints.py fails before (a machine of 8 CPUs is held for a task of 12) and passes after it.

--- a/tealhook/partitions/capacity_holds.py
+++ b/tealhook/partitions/capacity_holds.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tealhook.partitions.capacity import MachineCapacity
-from tealhook.partitions.machine import CapacityHold, Machine
+from tealhook.partitions.machine import FAR_FUTURE_S, CapacityHold, Machine
 from tealhook.wire import mesh
 from tealhook.wire.common import Resources
 
@@ -33,14 +33,18 @@
         return machine.capacity_hold is None or machine.capacity_hold.job != request.job
 
     def hold(self, job: str, required: Resources, candidates: list[Machine], now: float) -> None:
-        """Hold the machine that should be free first for a starving task, or renew the hold that its job has."""
+        """Hold the machine that should be free first for a starving task, or renew the hold that its job has.
+
+        A machine on which the task is not expected to fit at any time is not held: that would only keep it from others.
+        """
         for machine in candidates:
             if machine.capacity_hold is not None and machine.capacity_hold.job == job:
                 machine.capacity_hold = CapacityHold(job, now + self._hold_s)
                 return
         not_held = [machine for machine in candidates if machine.capacity_hold is None]
-        if not_held:
-            first_free = min(not_held, key=lambda m: (max(now, self._capacity.estimate_free_at(m, required)), m.name))
+        expected = [(max(now, self._capacity.estimate_free_at(m, required)), m.name, m) for m in not_held]
+        free_at, _name, first_free = min(expected, default=(FAR_FUTURE_S, "", None))
+        if first_free is not None and free_at < FAR_FUTURE_S:
             first_free.capacity_hold = CapacityHold(job, now + self._hold_s)
 
     @staticmethod
--- a/tests/test_placement_constraints.py
+++ b/tests/test_placement_constraints.py
@@ -12,6 +12,7 @@
 from tealhook.partitions.machine import CapacityHold, Machine
 from tealhook.scheduling.demand import TeamDemand
 from tealhook.wire import mesh
+from tealhook.wire.common import Resources
 from tealhook.wire.users import JobSpec
 from tests.simulated_cluster import SimulatedCluster
 from tests.simulated_placement import MACHINE_TYPES, SimulatedPlacement
@@ -205,3 +206,21 @@
     assert _shortages("za", {"zb": 8.0, "za": 2.0}) == [4.0]
     assert _shortages("za", {"za": 4.0}) == []
     assert _shortages(None, {"zb": 8.0}) == []
+
+
+def _hold_for_task(vcpus: float) -> CapacityHold | None:
+    """Return the hold that a starving task of this size gets on the only machine, which another task occupies."""
+    placement, machine = _placement_on_only_machine()
+    partition = placement.partitions["za"]
+    _occupy(placement, "zb", "low", expected_s=50.0)
+    placement.start_task(machine, "req-zb", 0, 1, Resources(8.0, 0.0, 4.0))
+    requirements = mesh.TaskRequirements(vcpus, 0.0, 4.0, "", 0.0, False, (), 1, 5.0)
+    request = mesh.ReservationRequest("req-000001", "team-0", requirements, 1, False, True, [], 1, False, False)
+    assert partition.reserve(mesh.ReserveRequest("za", [request])).grants == [[]]
+    return machine.capacity_hold
+
+
+def test_no_machine_is_held_for_a_task_that_never_fits_it():
+    """Guards against machines that are kept from other jobs for a starving task which is too large for them."""
+    assert _hold_for_task(4.0) is not None
+    assert _hold_for_task(12.0) is None
