Refuse groups with `spread`, which were accepted and never placed

What users would see: a job of shape `group` with `spread` and more than one task was accepted (201) and stayed `pending` for ever.

Cause: a gang is planned for one partition as a whole, while `spread` allows half of it in one zone. The plan left out that limit, and no plan met it.

Evidence: the new case of tests/test_submission_validation.py fails before (201 instead of 422) and passes after it.

--- a/tealhook/admission/validation.py
+++ b/tealhook/admission/validation.py
@@ -38,6 +38,8 @@
             return "unknown team"
         if spec.job_id in spec.depends_on:
             return "waits_on: a job can't wait for itself"
+        if spec.kind == JobKind.GANG and spec.spread and spec.task_count > 1:
+            return "spread: the tasks of a group start together in one zone"
         if _exceeds_limits(spec, team):
             return "the job needs more than the team's limit"
         if self._machine_types and not any(
--- a/tests/test_submission_validation.py
+++ b/tests/test_submission_validation.py
@@ -118,6 +118,8 @@
     ({"crew": '"nobody"'}, 422),
     ({"crew": '"Team-0"'}, 422),
     ({"crew": json.dumps("t" * 200)}, 422),
+    ({"shape": '"group"', "spread": "true", "plays": "2"}, 422),  # starts together, in one zone
+    ({"shape": '"group"', "spread": "true", "plays": "1"}, 201),
     ({"vcpus": "16.5"}, 422),  # fits no machine type
     ({"memory_gb": "64.5"}, 422),  # fits no machine type
     ({"cards": "1"}, 422),  # fits no machine type
