--- a/tests/simulation/rules.py
+++ b/tests/simulation/rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from tests import dependency_graphs
@@ -35,6 +36,11 @@
             raise RuleViolationError(f"started_again: {key} on {machine.name}, begun before on {self._begun_on[key]}")
         self._begun_on[key] = machine.name
 
+    def forget_attempts(self, keys: Iterable[tuple[str, int]]) -> None:
+        """Allow attempts that a machine has lost unnoticed, as it restarted, to begin once more."""
+        for key in keys:
+            self._begun_on.pop(key, None)
+
     def record_poll(self, job_id: str, answered: bool) -> None:
         """Record that a poll of a job was answered, or failed or timed out."""
         self._polls.append((self.cluster.now, job_id, answered))
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -40,6 +40,18 @@
         self.up = False
         self.tasks.clear()
 
+    def restart(self, downtime_s: float) -> None:
+        """Lose all tasks and everything that the worker has stored, and be up again under the same name."""
+        if self.up:
+            self.up = False
+            self.cluster.rule_checker.forget_attempts(self.tasks)
+            self.tasks.clear()
+            self.images.clear()
+            self.session, self.sequence, self.fencing_token = 1, 0, 0
+            self.heartbeat_number += 1  # nothing takes the answer to the last heartbeat
+            self.heartbeat_in_flight = False
+            self.cluster.call_later(downtime_s, self.boot)
+
     def announce_termination(self, seconds: float) -> None:
         """Announce that the cloud will reclaim the machine; the caller has to remove it."""
         self.termination_at = self.cluster.now + seconds
--- a/tests/test_late_start_commands.py
+++ b/tests/test_late_start_commands.py
@@ -27,7 +27,9 @@
 def _restart_something(cluster: SimulatedCluster) -> None:
     """Let an owner or a machine go away and be back within a second, or lose a machine, or cancel jobs."""
     rng = cluster.rng
-    kind = rng.choice(["team", "partition", "partition", "all", "machine", "lost machine", "cancel"])
+    kind = rng.choice(
+        ["team", "partition", "partition", "all", "machine", "restarted machine", "lost machine", "cancel"]
+    )
     workers = machines_up(cluster)
     if kind in ("team", "partition"):
         cluster.crash(random_owner(cluster, kind), rng.uniform(0.05, 0.9))
@@ -38,6 +40,8 @@
         cancel_running_jobs(cluster, rng.randint(1, 3), rng.choice([0.0, 2.0]))
     elif workers and kind == "machine":
         hang_machine(cluster, rng.choice(workers), rng.uniform(0.2, 6.0))
+    elif workers and kind == "restarted machine":
+        rng.choice(workers).restart(rng.uniform(0.05, 0.9))
     elif workers:
         rng.choice(workers).announce_termination(3.0)
 
