List a job that avoids the only machine it may use as known to fail

Seen while reading the whole change again: a job that is bound to one machine, by its zone and what the cloud has, and failed a task there once, is never placed again (no attempt within 200 s, simulated).

--- a/tests/test_placement_constraints.py
+++ b/tests/test_placement_constraints.py
@@ -17,6 +17,7 @@
 from tests.simulated_cluster import SimulatedCluster
 from tests.simulated_placement import MACHINE_TYPES, SimulatedPlacement
 from tests.simulation.faults import machines_up
+from tests.simulation.rules import MAX_WAIT_S
 
 SINGLE_ZONE_JOB = {
     "undisturbed": True,
@@ -218,3 +219,13 @@
     """Guards against machines that are kept from other jobs for a starving task which is too large for them."""
     assert _hold_for_task(4.0) is not None
     assert _hold_for_task(12.0) is None
+
+
+def test_job_is_placed_on_the_only_machine_of_its_zone_although_a_task_failed_there():
+    """Guards against a job that avoids a machine for ever, after one failure, and may use no other."""
+    placement, machine = _placement_on_only_machine()
+    job = placement.add_job(JobSpec("req-000001", "x", "team-0", "array", "standard", 1, 4.0, 4.0, zone="za"))
+    job.record_failure(machine.name)
+    placement.start()
+    placement.run(MAX_WAIT_S)
+    assert job.attempts
